--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -34,6 +35,8 @@
   Effect effect = Effect::kUnsafe;
   Group group = Group::kAll;
   Millis repeat_window = 0;  // keyed: how long repeats are dropped, from the first sending on
+
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
@@ -74,6 +77,8 @@
   std::string key;         // what the request is about; empty if unknown
   Millis time_left = 0;    // until the client gives this try up
   bool retry = false;      // a client's further try at what it was refused before; only where clients say so
+  std::optional<Effect> effect =
+      {};  // by which the client asked, where the protocol tells; see Policy::admits
 };
 
 // The answer of a streamed class has begun; the attempt now belongs to the client.
@@ -134,7 +139,23 @@
   std::vector<Server> servers;
 };
 
-using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews>;
+// An operator leaves a server out: nothing new goes to it, whatever the list says, until one puts it back. It
+// counts as newly started then, for operators restart what they leave out.
+struct ServerOut {
+  std::string server;
+};
+struct ServerBack {
+  std::string server;
+};
+
+// The settings have changed. Requests that are open keep the class they came under; a class that was changed
+// or dropped still takes requests for a moment, until all clients have changed over.
+struct SettingsChanged {
+  Settings settings;
+};
+
+using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews, ServerOut,
+                           ServerBack, SettingsChanged>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
@@ -183,6 +204,19 @@
   // to `actions` (which is not cleared). Give it the server list first: nothing is sent before.
   void handle(Millis now, const Event& event, std::vector<Action>& actions);
 
+  // Whether a server is listed, was so lately, or is left out by hand.
+  bool knows(const std::string& server) const;
+  // Whether anything new may go to a server: it is listed as up and not left out by hand.
+  bool may_use(const std::string& server) const;
+  // What a class's name stands for at the moment. kNoEffect: a class of this name takes no request made so.
+  enum class Admission { kYes, kNoClass, kNoEffect };
+  Admission admits(Millis now, const std::string& class_name, Effect effect) const;
+  struct Census {
+    int listed = 0;
+    int avoided = 0;  // of these: left out by hand, told to drain, or not ready
+  };
+  Census census() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/gateway/admin_server.cpp
@@ -0,0 +1,205 @@
+#include "admin_server.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "clock.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr std::size_t kMostCall = 4096;  // a head, and as much again for a body that nobody needs
+constexpr Millis kAcceptAgain = 50;      // after an accept that failed
+
+HttpResponse Reply(http::status status, std::string text) {
+  HttpResponse response(status, 11);
+  response.set(http::field::content_type, "text/plain");
+  response.body() = std::move(text);
+  return response;
+}
+
+// Percent-decoded; nothing if it is malformed.
+std::optional<std::string> Decode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      decoded += text[i] == '+' ? ' ' : text[i];
+      continue;
+    }
+    unsigned value = 0;
+    const char* const first = text.data() + i + 1;
+    if (i + 2 >= text.size()) return std::nullopt;
+    const auto [end, error] = std::from_chars(first, first + 2, value, 16);
+    if (error != std::errc() || end != first + 2) return std::nullopt;
+    decoded += static_cast<char>(value);
+    i += 2;
+  }
+  return decoded;
+}
+
+// The one value of a name in a query; nothing if it is missing, empty, malformed or given twice.
+std::optional<std::string> Parameter(std::string_view query, std::string_view name) {
+  std::optional<std::string> found;
+  while (!query.empty()) {
+    const std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos || pair.substr(0, equals) != name) continue;
+    if (found) return std::nullopt;
+    found = Decode(pair.substr(equals + 1));
+    if (!found || found->empty()) return std::nullopt;
+  }
+  return found;
+}
+
+}  // namespace
+
+// One caller: reads a call, answers it, and closes. Whatever it does or leaves undone, one timer ends it.
+class AdminServer::Call : public std::enable_shared_from_this<Call> {
+ public:
+  Call(AdminServer& server, tcp::socket socket)
+      : server_(server), socket_(std::move(socket)), timer_(server.io_) {
+    parser_.header_limit(kMostCall);
+    parser_.body_limit(kMostCall);
+  }
+
+  void Begin() {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Arm(server_.limits_.whole_call);
+    http::async_read(socket_, buffer_, parser_, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->closed_ || self->answered_) return;
+      if (!ec) return self->Answer(self->server_.Handle(self->parser_.get()));
+      // Whoever ended half a call can still read what was wrong with it; whoever reset it, or sent none, not.
+      const bool gone = ec.category() != http::make_error_code(http::error::bad_version).category();
+      if (gone || ec == http::error::end_of_stream) return self->Close();
+      self->Answer(Reply(http::status::bad_request, ec.message() + "\n"));
+    });
+  }
+
+  void Close() {
+    if (std::exchange(closed_, true)) return;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+    server_.calls_.remove(shared_from_this());
+  }
+
+ private:
+  void Arm(Millis wait) {
+    timer_.expires_after(Span(wait));
+    timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (ec || self->closed_) return;
+      if (self->answered_) return self->Close();
+      self->Answer(Reply(http::status::request_timeout, "the call is not whole\n"));
+    });
+  }
+
+  void Answer(HttpResponse response) {
+    answered_ = true;
+    response_ = std::move(response);
+    response_.keep_alive(false);
+    response_.prepare_payload();
+    Arm(server_.limits_.whole_call);
+    http::async_write(socket_, response_, [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->closed_) return;
+      if (!ec) self->socket_.shutdown(tcp::socket::shutdown_send, ec);
+      if (ec) return self->Close();
+      self->Arm(self->server_.limits_.linger);
+      self->Discard();
+    });
+  }
+
+  // Closing with bytes unread would reset the connection, and could take the answer from the caller.
+  void Discard() {
+    socket_.async_read_some(asio::buffer(sink_), [self = shared_from_this()](error_code ec, std::size_t) {
+      if (self->closed_) return;
+      ec ? self->Close() : self->Discard();
+    });
+  }
+
+  AdminServer& server_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  boost::beast::flat_buffer buffer_{2 * kMostCall};
+  http::request_parser<http::string_body> parser_;
+  HttpResponse response_;
+  char sink_[1024];
+  bool answered_ = false;
+  bool closed_ = false;
+};
+
+AdminServer::AdminServer(asio::io_context& io, const tcp::endpoint& address, Limits limits, Handlers handlers)
+    : io_(io), acceptor_(io), accept_again_(io), limits_(limits), handlers_(std::move(handlers)) {
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.non_blocking(true);
+  acceptor_.bind(address);
+  acceptor_.listen();
+  Accept();
+}
+
+AdminServer::~AdminServer() = default;
+
+void AdminServer::Accept() {
+  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (ec) {
+      accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
+      accept_again_.async_wait([this](error_code wait_ec) {
+        if (!wait_ec) Accept();
+      });
+      return;
+    }
+    if (calls_.size() >= limits_.places) {
+      const auto oldest = calls_.front();
+      oldest->Close();
+    }
+    calls_.push_back(std::make_shared<Call>(*this, std::move(socket)));
+    calls_.back()->Begin();
+    Accept();
+  });
+}
+
+HttpResponse AdminServer::Handle(const HttpRequest& request) {
+  if (FramingOf(request) == Framing::kAmbiguous) {
+    return Reply(http::status::bad_request, "where the body ends is not clear\n");
+  }
+  const std::string target(request.target().data(), request.target().size());
+  const std::string path = target.substr(0, target.find('?'));
+  const std::string query = path.size() < target.size() ? target.substr(path.size() + 1) : "";
+  const bool reads = path == "/status" || path == "/status/metrics";
+  const bool out = path == "/maintenance/enter";
+  if (!reads && !out && path != "/maintenance/exit") return Reply(http::status::not_found, "no such path\n");
+  if (request.method() != (reads ? http::verb::get : http::verb::put)) {
+    HttpResponse response = Reply(http::status::method_not_allowed, "the path takes another method\n");
+    response.set(http::field::allow, reads ? "GET" : "PUT");
+    return response;
+  }
+  if (!reads) return Maintain(query, out);
+  if (path == "/status") {
+    return handlers_.ready() ? Reply(http::status::ok, "yes\n")
+                             : Reply(http::status::service_unavailable, "no\n");
+  }
+  HttpResponse response = Reply(http::status::ok, handlers_.figures());
+  response.set(http::field::content_type, "application/json");
+  return response;
+}
+
+HttpResponse AdminServer::Maintain(const std::string& query, bool out) {
+  const auto host = Parameter(query, "target");
+  if (!host) return Reply(http::status::bad_request, "target: one host id is wanted\n");
+  if (!handlers_.maintain(*host, out)) return Reply(http::status::not_found, "no host has this id\n");
+  return Reply(http::status::ok, out ? "left out\n" : "put back\n");
+}
+
+}  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/gateway/admin_server.hpp
@@ -0,0 +1,57 @@
+// Where operators call: one short HTTP call a connection, apart from the clients' listener, so that a crowd
+// there keeps no operator waiting.
+#ifndef OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
+#define OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "http_types.hpp"
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+class AdminServer {
+ public:
+  struct Limits {
+    std::size_t places = 16;   // callers at once; the oldest makes room for a new one
+    Millis whole_call = 2000;  // a call must have come whole by then
+    Millis linger = 300;       // a caller that was answered gets this to close first
+  };
+  struct Handlers {
+    std::function<bool()> ready;
+    std::function<std::string()> figures;  // as JSON
+    // Leaves a host out or puts it back; false if nobody has this id.
+    std::function<bool(const std::string& host, bool out)> maintain;
+  };
+
+  // Listens at once. Throws boost::system::system_error if it can't.
+  AdminServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, Limits limits,
+              Handlers handlers);
+  ~AdminServer();
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+ private:
+  class Call;
+  void Accept();
+  HttpResponse Handle(const HttpRequest& request);
+  HttpResponse Maintain(const std::string& query, bool out);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_again_;
+  const Limits limits_;
+  const Handlers handlers_;
+  std::list<std::shared_ptr<Call>> calls_;  // the oldest first
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -291,9 +291,8 @@
 };
 
 ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const ClientLimits& limits,
-                           const Settings& settings, Handlers handlers)
+                           Handlers handlers)
     : io_(io), acceptor_(io), limits_(limits), handlers_(std::move(handlers)), sweep_(io), accept_again_(io) {
-  for (const ClassSettings& c : settings.classes) classes_[c.name] = c.effect;
   acceptor_.open(address.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.non_blocking(true);
@@ -417,17 +416,25 @@
     return fault(http::status::bad_request, "Req-Id is missing or too long");
   }
   request.class_name = Field(http, "Req-Kind");
-  const auto found = classes_.find(request.class_name);
-  if (found == classes_.end()) return fault(http::status::bad_request, "Req-Kind names no class");
   const auto allowed = ParseDeadline(Field(http, "Req-Deadline"));
   if (!allowed) return fault(http::status::bad_request, "Req-Deadline is missing or malformed");
   request.allowed = *allowed;
   // A repeat of a request that is not safe must be possible to tell from its class and method alike.
-  if (http.method() != (found->second == Effect::kSafe ? http::verb::get : http::verb::post)) {
+  const bool get = http.method() == http::verb::get;
+  const bool keyed = !http["Idempotency-Key"].empty();
+  request.effect = get ? Effect::kSafe : keyed ? Effect::kKeyed : Effect::kUnsafe;
+  const auto admission = handlers_.admits(request.class_name, request.effect);
+  if (admission == Policy::Admission::kNoClass) {
+    return fault(http::status::bad_request, "Req-Kind names no class");
+  }
+  if (!get && http.method() != http::verb::post) {
     return fault(http::status::method_not_allowed, "the class takes another method");
   }
-  if (found->second == Effect::kKeyed && http["Idempotency-Key"].empty()) {
-    return fault(http::status::bad_request, "Idempotency-Key is missing");
+  if (admission == Policy::Admission::kNoEffect) {
+    const bool lacks_key =
+        !get && handlers_.admits(request.class_name, Effect::kKeyed) == Policy::Admission::kYes;
+    return lacks_key ? fault(http::status::bad_request, "Idempotency-Key is missing")
+                     : fault(http::status::method_not_allowed, "the class takes another method");
   }
   request.tenant = Field(http, "Req-Owner");
   request.retry = http["Req-Retry"] == "1";
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -21,6 +21,7 @@
 struct ClientRequest {
   HttpRequest http;
   std::string id, class_name, tenant, key;
+  Effect effect = Effect::kUnsafe;           // as which the client made it
   bool retry = false;                        // the client's own further try
   Millis received = 0;                       // when its last byte was read
   Millis allowed = 0;                        // how long the client waits, from when it sent it
@@ -43,13 +44,14 @@
  public:
   struct Handlers {
     std::function<bool()> ready;
+    std::function<Policy::Admission(const std::string& class_name, Effect effect)> admits;
     std::function<void(ClientRequest)> taken;
     std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
   };
 
   // Listens at once. Throws boost::system::system_error if it can't.
   ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               const ClientLimits& limits, const Settings& settings, Handlers handlers);
+               const ClientLimits& limits, Handlers handlers);
   ~ClientServer();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -83,7 +85,6 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   const ClientLimits limits_;
   std::uint64_t reserved_ = 0;
-  std::unordered_map<std::string, Effect> classes_;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   boost::asio::steady_timer sweep_;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -1,8 +1,10 @@
 #include "config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <vector>
 
 #include "wire.hpp"
@@ -54,6 +56,62 @@
   return file[at].get<double>();
 }
 
+// A number above 0 at a JSON pointer, if there is anything: text that looks like one is not.
+void NeedPositive(const json& file, const std::string& path) { PositiveOr(file, path, 1); }
+
+void CheckSettings(const json& file, const Settings& settings) {
+  const json empty = json::array();
+  const json::json_pointer at("/settings/categories");
+  const json& classes = file.contains(at) && file[at].is_array() ? file[at] : empty;
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < classes.size(); ++i) {
+    const std::string path = "/settings/categories/" + std::to_string(i) + "/";
+    NeedPositive(file, path + "deadlineMs");
+    NeedPositive(file, path + "sloMs");
+    if (i < settings.classes.size() && !names.insert(settings.classes[i].name).second) {
+      throw ConfigError("settings: categories.name: '" + settings.classes[i].name + "' is there twice");
+    }
+  }
+  NeedPositive(file, "/settings/limits/maxAttempts");
+  try {
+    Policy(settings, 0);
+  } catch (const std::exception& error) {  // its text names the field
+    throw ConfigError(std::string("settings: ") + error.what());
+  }
+}
+
+// The pages say of these that they may be absent.
+bool MayBeAbsent(const std::string& key) {
+  static const std::set<std::string> keys = {"known",      "seed",           "familyInfo",
+                                             "aimStretch", "passesDeadline", "warmKeys"};
+  return keys.contains(key);
+}
+
+// A file cut short, or with a line lost, can still be good JSON: it lacks what the one before it had. The
+// items of a list come and go, but each needs what all of those before had.
+void NeedKeys(const json& before, const json& file, const std::string& path) {
+  for (const auto& [key, value] : before.items()) {
+    if (value.is_null() || MayBeAbsent(key)) continue;
+    const std::string name = path.empty() ? key : path + "." + key;
+    if (!file.contains(key) || file[key].is_null()) throw ConfigError(name + ": missing");
+    if (value.is_object() != file[key].is_object() || value.is_array() != file[key].is_array()) {
+      throw ConfigError(name + ": of another kind than before");
+    }
+    if (value.is_object()) NeedKeys(value, file[key], name);
+    if (!value.is_array() || value.empty() || !value.front().is_object()) continue;
+    json common = value.front();
+    for (const json& item : value) {
+      for (auto it = common.begin(); it != common.end();) {
+        it = item.contains(it.key()) ? std::next(it) : common.erase(it);
+      }
+    }
+    for (const json& item : file[key]) {
+      if (!item.is_object()) throw ConfigError(name + ": holds something else than before");
+      NeedKeys(common, item, name);
+    }
+  }
+}
+
 // The variable wins over the file's field of the same meaning.
 boost::asio::ip::tcp::endpoint ReadAddress(const char* variable, const std::string& name, const json& file,
                                            const std::string& field) {
@@ -72,17 +130,21 @@
 
 }  // namespace
 
-Config LoadConfig(const std::function<const char*(const char*)>& variable) {
+Config LoadConfig(const std::function<const char*(const char*)>& variable, const json* in_force) {
   const char* const path = variable("NODE_CONFIG");
   if (path == nullptr) throw ConfigError("NODE_CONFIG: not set");
   std::ifstream stream(path);
   if (!stream) throw ConfigError(std::string("NODE_CONFIG: can't read '") + path + "'");
-  const json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
+  json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
   if (!file.is_object()) throw ConfigError(std::string("NODE_CONFIG: '") + path + "' is no JSON object");
+  if (in_force != nullptr) NeedKeys(*in_force, file, "");
 
   Config config;
   config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
   config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
+  if (variable("NODE_ADMIN") != nullptr || file.contains("admin")) {
+    config.admin = ReadAddress(variable("NODE_ADMIN"), "NODE_ADMIN", file, "admin");
+  }
   if (file.contains("seed")) {
     const std::string text = Scalar(file["seed"]);
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), config.seed, 16);
@@ -93,6 +155,7 @@
   config.sockets = static_cast<std::size_t>(PositiveOr(file, "/limits/sockets", 1024));
   config.memory_mb = PositiveOr(file, "/limits/memory_mb", config.memory_mb);
   config.settings = ReadSettings(file);
+  CheckSettings(file, config.settings);
   config.dial_timeout = PositiveOr(file, "/settings/limits/dialTimeoutMs", config.dial_timeout);
   config.idle_timeout = PositiveOr(file, "/settings/limits/connIdleMs", config.idle_timeout);
   if (file.contains("known") && !file["known"].is_null()) {
@@ -100,6 +163,8 @@
     if (!known) throw ConfigError("known: not a list of hosts in discovery's form");
     config.known = *known;
   }
+  file.erase("known");
+  config.file = std::make_shared<const json>(std::move(file));
   return config;
 }
 
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -6,6 +6,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -24,17 +27,21 @@
 struct Config {
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> admin;  // where operators call, if they do
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // file descriptors that the process may hold
   double memory_mb = 128;      // beyond it the process is killed
   Settings settings;
   Millis dial_timeout = 250;
-  Millis idle_timeout = 15000;  // a host closes a connection that stood idle for this long
-  HostList known;               // may be old
+  Millis idle_timeout = 15000;                 // a host closes a connection that stood idle for this long
+  HostList known;                              // may be old
+  std::shared_ptr<const nlohmann::json> file;  // as it was read, less the list of hosts
 };
 
-// `variable` looks up an environment variable: null if it is not set. Throws ConfigError.
-Config LoadConfig(const std::function<const char*(const char*)>& variable);
+// `variable` looks up an environment variable: null if it is not set. A file that follows the one `in_force`
+// must have each of its keys, but for those that may be absent. Throws ConfigError; what it returns works.
+Config LoadConfig(const std::function<const char*(const char*)>& variable,
+                  const nlohmann::json* in_force = nullptr);
 
 }  // namespace opalswitch::gateway
 
--- /dev/null
+++ b/src/gateway/figures.cpp
@@ -0,0 +1,50 @@
+#include "figures.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace opalswitch::gateway {
+namespace {
+
+constexpr std::size_t kMostClasses = 256;  // with those that were dropped: files may name ever new ones
+
+}  // namespace
+
+void Figures::Know(const std::vector<ClassSettings>& classes) {
+  for (auto& [name, counts] : classes_) counts.known = false;
+  for (const ClassSettings& c : classes) classes_[c.name].known = true;
+  for (auto it = classes_.begin(); it != classes_.end() && classes_.size() > kMostClasses;) {
+    it = it->second.known ? std::next(it) : classes_.erase(it);
+  }
+}
+
+void Figures::Ended(const std::string& class_name, End end, bool taken) {
+  if (taken) --current_;
+  Counts& counts = classes_[class_name];
+  if (end == End::kAnswered) ++counts.answered;
+  if (end == End::kDeferred) ++counts.deferred;
+  if (end == End::kErrored) ++counts.errored;
+}
+
+void Figures::Sent(const std::string& class_name) {
+  ++sends_;
+  ++classes_[class_name].sends;
+}
+
+std::string Figures::ToJson(const Policy::Census& hosts) const {
+  nlohmann::json classes = nlohmann::json::object();
+  for (const auto& [name, c] : classes_) {
+    classes[name] = {
+        {"answered", c.answered}, {"deferred", c.deferred}, {"errored", c.errored}, {"sends", c.sends}};
+  }
+  const nlohmann::json figures = {{"transactions", std::move(classes)},
+                                  {"sends", sends_},
+                                  {"current", current_},
+                                  {"cluster_size", hosts.listed},
+                                  {"cluster_unhealthy", hosts.avoided},
+                                  {"conf_loaded", loaded_},
+                                  {"conf_invalid", invalid_}};
+  // Names come from a file: what is no UTF-8 in them must not keep the figures back.
+  return figures.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/gateway/figures.hpp
@@ -0,0 +1,44 @@
+// What the gateway counts for its operators. Counted where a request is taken and where it ends, and nowhere
+// else; all counts begin at 0 with the process.
+#ifndef OPALSWITCH_GATEWAY_FIGURES_HPP_
+#define OPALSWITCH_GATEWAY_FIGURES_HPP_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+class Figures {
+ public:
+  // How a request ended: served, refused or failed; or its client left, which counts under none.
+  enum class End { kAnswered, kDeferred, kErrored, kLeft };
+
+  // The classes that are shown though nothing was asked of them yet.
+  void Know(const std::vector<ClassSettings>& classes);
+
+  void Taken() { ++current_; }
+  // `taken`: whether the request was counted as taken before.
+  void Ended(const std::string& class_name, End end, bool taken = true);
+  // An attempt was written whole to a host.
+  void Sent(const std::string& class_name);
+  // A file was taken, or turned down, at SIGHUP.
+  void Configured(bool taken) { ++(taken ? loaded_ : invalid_); }
+
+  std::string ToJson(const Policy::Census& hosts) const;
+
+ private:
+  struct Counts {
+    std::uint64_t answered = 0, deferred = 0, errored = 0, sends = 0;
+    bool known = true;  // by the settings in force
+  };
+  std::map<std::string, Counts> classes_;
+  std::uint64_t current_ = 0, sends_ = 0, loaded_ = 0, invalid_ = 0;
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_FIGURES_HPP_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,36 +24,37 @@
 constexpr Millis kFlush = 200;     // for the last answers to leave
 constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
 constexpr std::size_t kSpareSockets = 24;  // listener, discovery, standard streams, the loop's own, and room
+constexpr std::size_t kAdminSockets = 20;  // operators' listener, their calls and one that is being accepted
 constexpr double kHostShare = 0.45;  // of the descriptors left; an attempt out holds one, as its client does
 constexpr double kUsualShare = 0.3;  // of all descriptors: clients hold a third of them at the most
 constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
 constexpr double kMostLoad = 1e6;    // no host can report more of anything
 
-// Descriptors that may be used, by the configuration and by the system.
-std::size_t Usable(std::size_t configured) {
+// Descriptors that may be used for clients and hosts, by the configuration and by the system.
+std::size_t Usable(const Config& config) {
   rlimit limit{};
-  std::size_t all = configured;
+  std::size_t all = config.sockets;
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
-    all = std::min<std::size_t>(configured, limit.rlim_cur);
+    all = std::min<std::size_t>(config.sockets, limit.rlim_cur);
   }
-  return all > 2 * kSpareSockets ? all - kSpareSockets : all / 2;
+  const std::size_t spare = kSpareSockets + (config.admin ? kAdminSockets : 0);
+  return all > 2 * spare ? all - spare : all / 2;
 }
 
-std::size_t HostSockets(std::size_t configured) {
-  return std::max<std::size_t>(
-      1, static_cast<std::size_t>(static_cast<double>(Usable(configured)) * kHostShare));
+std::size_t HostSockets(const Config& config) {
+  return std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(Usable(config)) * kHostShare));
 }
 
 // The module is told how many attempts there are descriptors for.
 Settings Fitted(const Config& config) {
   Settings settings = config.settings;
-  settings.most_out = static_cast<int>(HostSockets(config.sockets));
+  settings.most_out = static_cast<int>(HostSockets(config));
   return settings;
 }
 
 ClientLimits LimitsFor(const Config& config) {
   ClientLimits limits;
-  const std::size_t usable = Usable(config.sockets), hosts = HostSockets(config.sockets);
+  const std::size_t usable = Usable(config), hosts = HostSockets(config);
   limits.sessions = usable > hosts ? usable - hosts : 1;
   limits.usual = static_cast<std::size_t>(static_cast<double>(config.sockets) * kUsualShare);
   limits.body_bytes = static_cast<std::uint64_t>(std::max(1.0, config.memory_mb * kBodyShare) * (1 << 20));
@@ -108,27 +109,49 @@
     : io_(io),
       settings_(Fitted(config)),
       policy_(settings_, config.seed),
-      hosts_(io, {config.dial_timeout, config.idle_timeout, HostSockets(config.sockets)}),
+      hosts_(io, {config.dial_timeout, config.idle_timeout, HostSockets(config)},
+             {[this](const std::string& host) { return policy_.may_use(host); }}),
       discovery_(io, config.discovery, config.known.revision,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
       stop_(io),
       ask_again_(io),
-      clients_(io, config.listen, LimitsFor(config), config.settings,
-               {[this] { return listed_ && !stopping_; },
-                [this](ClientRequest request) { Take(std::move(request)); },
-                [this](const std::string& id) {
-                  if (Flow* const flow = Find(id)) {
-                    flow->answered = true;  // nothing is owed any more
-                    flow->http.reset();
-                    flow->overdue.cancel();
-                  }
-                  Report(ClientGone{id});
-                }}) {
+      clients_(
+          io, config.listen, LimitsFor(config),
+          {[this] { return listed_ && !stopping_; },
+           [this](const std::string& name, Effect effect) { return policy_.admits(Now(), name, effect); },
+           [this](ClientRequest request) { Take(std::move(request)); },
+           [this](const std::string& id) { Left(id); }}) {
+  figures_.Know(settings_.classes);
+  if (config.admin) {
+    admin_.emplace(
+        io, *config.admin, AdminServer::Limits(),
+        AdminServer::Handlers{[this] { return listed_ && !stopping_; },
+                              [this] { return figures_.ToJson(policy_.census()); },
+                              [this](const std::string& host, bool out) { return Maintain(host, out); }});
+  }
   Told(config.known);
   if (!settings_.ask_for_list) discovery_.Watch();
 }
 
-void Gateway::Reload(const Config& config) { discovery_.Move(config.discovery); }
+void Gateway::Reload(const Config& config) {
+  settings_ = Fitted(config);
+  hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
+  figures_.Know(settings_.classes);
+  figures_.Configured(true);
+  Report(SettingsChanged{settings_});
+  discovery_.Move(config.discovery);
+}
+
+bool Gateway::Maintain(const std::string& host, bool out) {
+  if (!policy_.knows(host)) return false;
+  if (!out) {
+    Report(ServerBack{host});
+    return true;
+  }
+  Report(ServerOut{host});
+  hosts_.Rest(host);
+  return true;
+}
 
 void Gateway::Take(ClientRequest request) {
   if (flows_.contains(request.id)) {  // two answers for one id could not be told apart
@@ -140,6 +163,8 @@
   Flow& flow = flows_.try_emplace(request.id, io_).first->second;
   flow.http = std::make_shared<const HttpRequest>(std::move(request.http));
   flow.answer = std::move(request.answer);
+  flow.class_name = request.class_name;
+  figures_.Taken();
   const Millis gives_up = request.received + request.allowed;
   flow.leaves_at = gives_up - kMargin;
   flow.overdue.expires_after(Span(gives_up - kLastMargin - Now()));
@@ -147,7 +172,13 @@
     if (!ec) Overdue(id);
   });
   Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
-                 request.retry});
+                 request.retry, request.effect});
+}
+
+void Gateway::Left(const std::string& id) {
+  Flow* const flow = Find(id);
+  if (flow != nullptr && !flow->answered) End(*flow, Figures::End::kLeft);  // nothing is owed any more
+  Report(ClientGone{id});
 }
 
 void Gateway::Told(const HostList& list) {
@@ -181,7 +212,7 @@
   if (result == Result::kServed) {
     StripHopByHop(response);
     response.erase("Srv-Load");
-    Answer(*flow, std::move(response));
+    Answer(*flow, Figures::End::kAnswered, std::move(response));
   }
   Report(std::move(outcome));
 }
@@ -190,7 +221,7 @@
 void Gateway::Overdue(const std::string& id) {
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return;
-  Answer(*flow, HttpResponse(http::status::gateway_timeout, 11));
+  Answer(*flow, Figures::End::kErrored, HttpResponse(http::status::gateway_timeout, 11));
   Report(ClientGone{id});
 }
 
@@ -231,7 +262,8 @@
   flow->attempts.push_back({send.server, now});
   const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
   const std::uint64_t number = hosts_.Start(
-      send.server, flow->http, until, [this, id = send.request, index](Result result, HttpResponse response) {
+      send.server, flow->http, until, [this, name = flow->class_name] { figures_.Sent(name); },
+      [this, id = send.request, index](Result result, HttpResponse response) {
         Ended(id, index, result, std::move(response));
       });
   flow->attempts[index].number = number;
@@ -241,15 +273,15 @@
   Flow* const flow = Find(refuse.request);
   if (flow == nullptr) return;
   HttpResponse response(http::status::service_unavailable, 11);
-  response.set(http::field::retry_after, Seconds(refuse.retry_after));
-  Answer(*flow, std::move(response));
+  if (refuse.retry_after > 0) response.set(http::field::retry_after, Seconds(refuse.retry_after));
+  Answer(*flow, Figures::End::kDeferred, std::move(response));
   Settle(refuse.request);
 }
 
 void Gateway::Do(const Fail& fail) {
   Flow* const flow = Find(fail.request);
   if (flow == nullptr) return;
-  Answer(*flow, HttpResponse(http::status::bad_gateway, 11));
+  Answer(*flow, Figures::End::kErrored, HttpResponse(http::status::bad_gateway, 11));
   Settle(fail.request);
 }
 
@@ -275,11 +307,17 @@
   return found == flows_.end() ? nullptr : &found->second;
 }
 
-void Gateway::Answer(Flow& flow, HttpResponse response) {
-  if (std::exchange(flow.answered, true)) return;
+void Gateway::Answer(Flow& flow, Figures::End end, HttpResponse response) {
+  if (flow.answered) return;
+  End(flow, end);
+  std::exchange(flow.answer, nullptr)(std::move(response));
+}
+
+void Gateway::End(Flow& flow, Figures::End end) {
+  flow.answered = true;
   flow.overdue.cancel();
   flow.http.reset();  // attempts that are still out have their own
-  std::exchange(flow.answer, nullptr)(std::move(response));
+  figures_.Ended(flow.class_name, end);
 }
 
 void Gateway::Settle(const std::string& id) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -9,13 +9,16 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "admin_server.hpp"
 #include "client_server.hpp"
 #include "config.hpp"
 #include "discovery.hpp"
+#include "figures.hpp"
 #include "host_pool.hpp"
 #include "opalswitch/policy.hpp"
 
@@ -28,8 +31,14 @@
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
-  // Takes over what a changed configuration may change while the gateway runs: where discovery is.
+  // Where operators call; throws std::bad_optional_access where the configuration has no such place.
+  boost::asio::ip::tcp::endpoint admin_address() const { return admin_.value().address(); }
+
+  // Takes over what a changed configuration may change while the gateway runs: the settings, and where
+  // discovery is.
   void Reload(const Config& config);
+  // A changed configuration was turned down.
+  void KeptSettings() { figures_.Configured(false); }
 
   // A planned end, in times from its beginning. SIGKILL comes at 3,700 ms or later.
   struct StopTimes {
@@ -54,6 +63,7 @@
     explicit Flow(boost::asio::io_context& io) : overdue(io) {}
     std::shared_ptr<const HttpRequest> http;
     std::function<void(HttpResponse)> answer;
+    std::string class_name;
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
     std::vector<Attempt> attempts;
@@ -61,6 +71,8 @@
   };
 
   void Take(ClientRequest request);
+  void Left(const std::string& id);
+  bool Maintain(const std::string& host, bool out);
   void Told(const HostList& list);
   void ListFailed();
   void Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response);
@@ -78,12 +90,15 @@
   void Do(const Log& log);
 
   Flow* Find(const std::string& id);
-  void Answer(Flow& flow, HttpResponse response);
+  void Answer(Flow& flow, Figures::End end, HttpResponse response);
+  // Every request that was taken ends here, and is counted here.
+  void End(Flow& flow, Figures::End end);
   void Settle(const std::string& id);
 
   boost::asio::io_context& io_;
-  const Settings settings_;
+  Settings settings_;
   Policy policy_;
+  Figures figures_;
   HostPool hosts_;
   Discovery discovery_;
   std::unordered_map<std::string, Flow> flows_;
@@ -94,6 +109,7 @@
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
   ClientServer clients_;
+  std::optional<AdminServer> admin_;
 };
 
 }  // namespace opalswitch::gateway
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -57,6 +57,7 @@
     std::uint64_t attempt;
     std::shared_ptr<const HttpRequest> request;
     Millis deadline;
+    std::function<void()> written;
     Done done;
   };
 
@@ -173,7 +174,10 @@
       written_ += socket_.write_some(asio::buffer(outgoing_) + written_, ec);
     }
     if (ec && ec != asio::error::would_block) return End(Result::kConnectFailed);  // its last byte never left
-    if (WrittenWhole()) return ReadHead();
+    if (WrittenWhole()) {
+      if (job_->written) job_->written();
+      return ReadHead();
+    }
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), turn = turn_](error_code) {
       if (self->open_ && self->turn_ == turn) self->WriteMore();
     });
@@ -253,7 +257,17 @@
   bool open_ = false;
 };
 
-HostPool::HostPool(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+HostPool::HostPool(asio::io_context& io, Limits limits, Handlers handlers)
+    : io_(io), limits_(limits), handlers_(std::move(handlers)) {}
+
+void HostPool::Rest(const std::string& host) {
+  if (const auto found = hosts_.find(host); found != hosts_.end()) CloseIdle(found->second);
+}
+
+void HostPool::SetTimes(Millis dial_timeout, Millis idle_timeout) {
+  limits_.dial_timeout = dial_timeout;
+  limits_.idle_timeout = idle_timeout;
+}
 
 void HostPool::Update(const HostList& list) {
   if (list.complete) {
@@ -272,14 +286,14 @@
 }
 
 std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
-                              Millis deadline, Done done) {
+                              Millis deadline, std::function<void()> written, Done done) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
   if (found == hosts_.end() || Now() >= deadline) {
     done(Result::kNotSent, {});
     return attempt;
   }
-  Connection::Job job{attempt, std::move(request), deadline, std::move(done)};
+  Connection::Job job{attempt, std::move(request), deadline, std::move(written), std::move(done)};
   auto& idle = found->second.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
@@ -330,7 +344,7 @@
 
 bool HostPool::MayUse(const std::string& host, const tcp::endpoint& address) const {
   const auto found = hosts_.find(host);
-  return found != hosts_.end() && found->second.address == address;
+  return found != hosts_.end() && found->second.address == address && handlers_.may_use(host);
 }
 
 void HostPool::Forget(const std::string& host, const Connection* connection) {
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -30,15 +30,23 @@
   // perhaps before Start returns.
   using Done = std::function<void(Result, HttpResponse)>;
 
-  HostPool(boost::asio::io_context& io, Limits limits);
+  struct Handlers {
+    std::function<bool(const std::string& host)> may_use;  // asked again once a dial has taken its time
+  };
+  HostPool(boost::asio::io_context& io, Limits limits, Handlers handlers);
 
   // Takes effect at once: a host that drains or is gone is sent nothing more, not even on a connection that
   // is being dialled.
   void Update(const HostList& list);
+  // Closes the idle connections to a host that is left alone for a while.
+  void Rest(const std::string& host);
+  // Hosts' time-outs as the settings have them now.
+  void SetTimes(Millis dial_timeout, Millis idle_timeout);
 
-  // Sends the request unless the host is not to be used any more. Returns a number for Cancel.
+  // Sends the request unless the host is not to be used any more; `written` is called once it is written
+  // whole. Returns a number for Cancel.
   std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request, Millis deadline,
-                      Done done);
+                      std::function<void()> written, Done done);
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt);
 
@@ -58,7 +66,8 @@
   void Forget(const std::string& host, const Connection* connection);
 
   boost::asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
+  const Handlers handlers_;
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
   std::size_t connections_ = 0;
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -11,6 +11,7 @@
 
 #include "config.hpp"
 #include "gateway.hpp"
+#include "live_settings.hpp"
 
 namespace {
 
@@ -23,28 +24,28 @@
   return std::strcmp(name, "NODE_DISCOVERY") == 0 ? nullptr : Variable(name);
 }
 
-void Reload(gw::Gateway& gateway) {
-  try {
-    gateway.Reload(gw::LoadConfig(VariableAtReload));
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "forkwick: configuration not reloaded: %s\n", error.what());
-  }
-}
-
 }  // namespace
 
 int main() {
   try {
     boost::asio::io_context io(1);
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    gw::Gateway gateway(io, gw::LoadConfig(Variable));
+    const gw::Config config = gw::LoadConfig(Variable);
+    gw::Gateway gateway(io, config);
+    gw::LiveSettings settings(VariableAtReload, config,
+                              {[&](const gw::Config& changed) { gateway.Reload(changed); },
+                               [&](const std::string& why) {
+                                 std::fprintf(stderr, "forkwick: configuration not reloaded: %s\n",
+                                              why.c_str());
+                                 gateway.KeptSettings();
+                               }});
     ends.async_wait([&](const boost::system::error_code& ec, int) {
       if (!ec) gateway.Stop([&] { io.stop(); });
     });
     std::function<void()> await_reload = [&] {
       reloads.async_wait([&](const boost::system::error_code& ec, int) {
         if (ec) return;
-        Reload(gateway);
+        settings.Reload();
         await_reload();
       });
     };
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,6 +63,8 @@
 constexpr double kCrossing = 1.3;       // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;           // samples that the latency of a server's kind counts for
 constexpr double kColdShare = 0.4;      // part of the multiple that fells a cold server which it is sent
+constexpr Millis kOldClass = 1500;      // ms that a class is taken after it was changed or dropped
+constexpr std::size_t kDeparted = 256;  // ids remembered after they left the list
 constexpr Millis kLeastRetryAfter = 10;  // ms; "at once" would be no advice
 constexpr Millis kAskGap = 100;          // ms before a failed list call is made again; doubles
 constexpr Millis kDoubt = 500;           // ms of each server's time that a first few answers are spread over
@@ -79,17 +81,33 @@
     set_ = std::move(settings);
     random_.seed(seed);
     const double worth = Validate(set_);
-    const auto& fields = set_.report_fields;
     place_ = set_.index < 0 ? Uniform() : std::fmod(set_.index * 0.6180339887498949, 1.0);
-    busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
-    for (const ClassSettings& c : set_.classes) {
-      class_index_[c.name] = static_cast<int>(classes_.size());
-      classes_.emplace_back().set = c;
-      classes_.back().weight = worth > 0 ? c.worth / worth : 1.0 / static_cast<double>(set_.classes.size());
-    }
-    for (const TenantSettings& t : set_.tenants) {
-      tenants_[t.name].per_ms = t.quota_per_s / set_.gateways / 1000;
+    Apply(worth);
+  }
+
+  bool Knows(const std::string& id) const {
+    const auto found = servers_.find(id);
+    return (found != servers_.end() && found->second.listed) || out_by_hand_.contains(id) ||
+           std::find(departed_.begin(), departed_.end(), id) != departed_.end();
+  }
+
+  bool MayUse(const std::string& id) const {
+    const auto found = servers_.find(id);
+    return found != servers_.end() && found->second.up;
+  }
+
+  Admission Admits(Millis now, const std::string& name, Effect effect) {
+    if (TierOf(name, effect, now) != nullptr) return Admission::kYes;
+    return TierOf(name, std::nullopt, now) != nullptr ? Admission::kNoEffect : Admission::kNoClass;
+  }
+
+  Census Count() const {
+    Census census;
+    for (const auto& [id, b] : servers_) {
+      census.listed += b.listed;
+      census.avoided += b.listed && (!b.up || b.suspect);
     }
+    return census;
   }
 
   void Handle(Millis now, const Event& event, std::vector<Action>& out) {
@@ -101,6 +119,41 @@
   }
 
  private:
+  // ---- Settings --------------------------------------------------------------------------------
+
+  // Puts the settings into force, `worth` being that of all classes. What was learned of a class and what a
+  // tenant has left stays.
+  void Apply(double worth) {
+    const auto& fields = set_.report_fields;
+    busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
+    const Millis last = now_ + kOldClass;
+    for (Tier& c : classes_) c.until = std::min(c.until, last);
+    for (const ClassSettings& set : set_.classes) {
+      const Tier* const known = TierOf(set.name, std::nullopt, now_);
+      const Tier old = known != nullptr ? *known : Tier();
+      const bool same = known != nullptr && known->set == set && known->until == last;
+      Tier& c = same ? classes_[known - classes_.data()] : NewTier();
+      c.set = set;
+      c.until = std::numeric_limits<Millis>::infinity();
+      c.weight = worth > 0 ? set.worth / worth : 1.0 / static_cast<double>(set_.classes.size());
+      c.latency = old.latency;
+      c.samples = old.samples;
+    }
+    const auto spent = std::exchange(tenants_, {});
+    for (const TenantSettings& t : set_.tenants) {
+      Tenant& tenant = tenants_[t.name];
+      if (const auto found = spent.find(t.name); found != spent.end()) tenant = found->second;
+      tenant.per_ms = t.quota_per_s / set_.gateways / 1000;
+    }
+  }
+
+  void On(const SettingsChanged& changed) {
+    const double worth = Validate(changed.settings);  // throws before anything is changed
+    set_ = changed.settings;
+    Apply(worth);
+    ChooseSubset();
+  }
+
   // ---- Membership ------------------------------------------------------------------------------
 
   void On(const ServerNews& news) {
@@ -112,17 +165,47 @@
     }
     ask_gap_ = 0;
     if (news.kind == ServerNews::Kind::kFull) {
-      for (auto& [id, b] : servers_) b.up = false;
+      for (auto& [id, b] : servers_) b.listed = b.up = false;
     }
     for (const Server& s : news.servers) Learn(s);
     for (auto it = servers_.begin(); it != servers_.end();) {
-      it = !it->second.up && it->second.refs == 0 ? servers_.erase(it) : std::next(it);
+      if (it->second.listed || it->second.refs > 0) {
+        ++it;
+        continue;
+      }
+      departed_.push_back(it->first);
+      if (departed_.size() > kDeparted) departed_.pop_front();
+      it = servers_.erase(it);
     }
+    CountUp();
+  }
+
+  void CountUp() {
     up_ = 0;
     for (auto& [id, b] : servers_) up_ += b.up;
     ChooseSubset();
   }
 
+  // By hand: kept apart from the list, so that none can bring a server back.
+  void On(const ServerOut& out) {
+    if (!Knows(out.server) || !out_by_hand_.insert(out.server).second) return;
+    Say("server " + out.server + " left out by hand");
+    if (const auto found = servers_.find(out.server); found != servers_.end()) found->second.up = false;
+    CountUp();
+  }
+
+  // Whatever the list knows yet, it may have been started a moment ago.
+  void On(const ServerBack& back) {
+    if (out_by_hand_.erase(back.server) == 0) return;
+    Say("server " + back.server + " put back by hand");
+    if (const auto found = servers_.find(back.server); found != servers_.end()) {
+      Backend& b = found->second;
+      Renew(b, now_);
+      b.up = b.listed && b.info.state == ServerState::kUp;
+    }
+    CountUp();
+  }
+
   // Subsetting: where many gateways share the servers each keeps to a few, for a few requests a second over
   // all tell nothing of any, and connections fill the servers' tables. Gateways start by the golden ratio of
   // their index: any run of them covers the ring, on which kinds lie evenly. The next comes in for one that
@@ -148,7 +231,8 @@
     b.info = s;
     b.kind = &kinds_[s.kind];
     b.hash = Hash(s.id);
-    b.up = s.state == ServerState::kUp;
+    b.listed = s.state != ServerState::kGone;
+    b.up = s.state == ServerState::kUp && !out_by_hand_.contains(s.id);
     if (!(b.info.weight > 0) || !std::isfinite(b.info.weight)) b.info.weight = 1;
     if (restarted) Renew(b, s.started_at > 0 ? s.started_at : kNever);  // 0: up for long
   }
@@ -328,7 +412,8 @@
     const double own = std::min(1.0 * b.samples, 1 / kFast), all = own + pooled;
     const double latency = (own * b.latency + pooled * b.kind->latency) / std::max(1.0, all);
     const double crossing = b.info.zone == set_.zone ? 1 : kCrossing;
-    return crossing * (b.in_flight + 1) * (all > 0 ? latency : std::max(1.0, Median()));
+    const double median = all > 0 ? 0 : Median();  // 0 too where nothing was measured yet
+    return crossing * (b.in_flight + 1) * (all > 0 ? latency : median > 0 ? median : 1);
   }
 
   // Rule 2: a keyed request that may have run stays with the servers that drop its repeats.
@@ -446,13 +531,15 @@
   }
 
   void On(const Request& r) {
-    const auto found = class_index_.find(r.class_name);
+    Tier* const tier = TierOf(r.class_name, r.effect, now_);
     if (flows_.contains(r.id)) return;
-    if (found == class_index_.end()) return Emit(Refuse{r.id, 0});  // no such class: never sent
+    if (tier == nullptr) return Emit(Refuse{r.id, 0});  // no such class: never sent
     Flow& flow = flows_[r.id];
-    Tier& c = classes_[found->second];
+    Tier& c = *tier;
+    ++c.open;
     flow.id = r.id;
-    flow.cls = found->second;
+    flow.cls = static_cast<int>(tier - classes_.data());
+    flow.most_attempts = set_.max_attempts;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
     arriving_ += 1 / kLongMemory;
@@ -521,18 +608,18 @@
 
   // Spends tokens on the queues: each token goes to the backlogged class with the most credit.
   void Release() {
-    std::uint64_t stuck = 0;  // classes whose head no server can take now
+    ++releases_;
     while (queued_ > 0 && tokens_ > 0 && Room()) {
       Tier* best = nullptr;
       for (Tier& c : classes_) {
-        if (c.Size() == 0 || (stuck >> (&c - classes_.data()) & 1)) continue;
+        if (c.Size() == 0 || c.stuck_in == releases_) continue;
         if (best == nullptr || c.credit + c.weight > best->credit + best->weight) best = &c;
       }
       if (best == nullptr) return;
       Flow& flow = *best->Line().front();
       Backend* b = Pick(flow);
       if (b == nullptr) {
-        stuck |= std::uint64_t{1} << (best - classes_.data());
+        best->stuck_in = releases_;  // no server can take its head now
         continue;
       }
       // Where all backlogged classes are in debt the least indebted goes: a token never idles.
@@ -592,7 +679,8 @@
     const bool legal = flow.NeverRan() || c.effect != Effect::kUnsafe;
     const bool heavy = result == Result::kTimedOut && !flow.attempts.back().server->suspect;
     const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
-    const bool more = static_cast<int>(flow.attempts.size()) < set_.max_attempts;
+    const bool more =
+        static_cast<int>(flow.attempts.size()) < std::min(flow.most_attempts, set_.max_attempts);
     if (!legal || heavy || !in_time || !more || retry_budget_ < 1) return Answer(flow);
     retry_budget_ -= 1;
     Hold(flow, classes_[flow.cls].retries);
@@ -619,6 +707,7 @@
   void Settle(Flow& flow) {
     if (!flow.answered || flow.queued || flow.AnyOut()) return;
     for (const Attempt& a : flow.attempts) --a.server->refs;
+    --classes_[flow.cls].open;
     flows_.erase(flow.id);
   }
 
@@ -670,4 +759,11 @@
   impl_->Handle(now, event, actions);
 }
 
+bool Policy::knows(const std::string& server) const { return impl_->Knows(server); }
+bool Policy::may_use(const std::string& server) const { return impl_->MayUse(server); }
+Policy::Admission Policy::admits(Millis now, const std::string& class_name, Effect effect) const {
+  return impl_->Admits(now, class_name, effect);
+}
+Policy::Census Policy::census() const { return impl_->Count(); }
+
 }  // namespace opalswitch
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -7,7 +7,9 @@
 #include <deque>
 #include <limits>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,13 +49,14 @@
   Server info;
   Kind* kind = nullptr;
   std::uint64_t hash = 0;
-  bool up = false;
-  bool mine = false;   // in this gateway's subset
-  int refs = 0;        // attempts of living requests that name it
-  int in_flight = 0;   // own attempts out
-  double latency = 0;  // smoothed, relative to the class; 0 = unmeasured
-  double steady = 0;   // the same, smoothed over more samples
-  double base = 0;     // the lowest of that: what it is when uncrowded
+  bool listed = false;  // by the last list, if only to drain
+  bool up = false;      // and may be sent to
+  bool mine = false;    // in this gateway's subset
+  int refs = 0;         // attempts of living requests that name it
+  int in_flight = 0;    // own attempts out
+  double latency = 0;   // smoothed, relative to the class; 0 = unmeasured
+  double steady = 0;    // the same, smoothed over more samples
+  double base = 0;      // the lowest of that: what it is when uncrowded
   int samples = 0;
   double busy = 0;    // reported utilisation, smoothed
   double limit = 1;   // own requests it takes uncrowded; below 1 it rests between them
@@ -86,6 +89,7 @@
   bool in_share = true;
   bool answered = false;
   bool queued = false;
+  int most_attempts = 1;
   std::vector<Attempt> attempts;
 
   bool AnyOut() const {
@@ -101,8 +105,13 @@
   bool NeverRan() const { return FirstRun() == nullptr; }
 };
 
-struct Tier {  // one class: its settings, learned latency, credit and queues
+// One class: its settings, learned latency, credit and queues. A class whose settings change gets a new one,
+// and the old one stays for the requests that came under it.
+struct Tier {
   ClassSettings set;
+  Millis until = std::numeric_limits<Millis>::infinity();  // takes new requests until then
+  int open = 0;                                            // requests that came under it and are remembered
+  std::uint64_t stuck_in = 0;                              // the release that found no server for its head
   double weight = 0;
   double credit = 0;
   Millis most_left = 0;  // what a first try still has
@@ -126,9 +135,11 @@
   Settings set_;
   std::mt19937_64 random_;
   std::vector<Tier> classes_;
-  std::unordered_map<std::string, int> class_index_;  // looked up, never iterated
-  std::unordered_map<std::string, Tenant> tenants_;   // the same
-  std::unordered_map<std::string, Flow> flows_;       // the same
+  std::uint64_t releases_ = 0;
+  std::unordered_map<std::string, Tenant> tenants_;  // looked up, never iterated
+  std::unordered_map<std::string, Flow> flows_;      // the same
+  std::set<std::string> out_by_hand_;
+  std::deque<std::string> departed_;  // ids that the list had lately
   std::map<std::string, Kind> kinds_;
   std::map<std::string, Backend> servers_;  // ordered: iteration must be repeatable
   std::vector<std::pair<double, Backend*>> candidates_;
@@ -154,6 +165,27 @@
   double place_ = 0;    // of this gateway on the ring of servers
   double sharers_ = 1;  // gateways that use each server
 
+  // The tier that a request of this class and effect comes under: the newest that fits, or null.
+  Tier* TierOf(const std::string& name, const std::optional<Effect>& effect, Millis now) {
+    Tier* found = nullptr;
+    for (Tier& c : classes_) {
+      if (c.set.name != name || now >= c.until || (effect && !Fits(*effect, c.set.effect))) continue;
+      if (found == nullptr || c.until > found->until) found = &c;
+    }
+    return found;
+  }
+  // A key that was sent along does no harm to a class that needs none.
+  static bool Fits(Effect asked, Effect effect) {
+    return asked == effect || (asked == Effect::kKeyed && effect == Effect::kUnsafe);
+  }
+  // A place for a new tier: that of one nobody needs any more, if there is one.
+  Tier& NewTier() {
+    for (Tier& c : classes_) {
+      if (c.open == 0 && now_ >= c.until) return c = Tier();
+    }
+    return classes_.emplace_back();
+  }
+
   Flow* Find(const std::string& id) {
     const auto found = flows_.find(id);
     return found == flows_.end() ? nullptr : &found->second;
--- /dev/null
+++ b/tests/admin_test.cpp
@@ -0,0 +1,201 @@
+// Where operators call, and what they are shown: the listener on its own, and on a gateway with hosts.
+#include <gtest/gtest.h>
+
+#include "gateway/admin_server.hpp"
+#include "gateway/figures.hpp"
+#include "peers.hpp"
+#include "world.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using gateway::AdminServer;
+using gateway::Figures;
+
+struct Listener {
+  explicit Listener(AdminServer::Limits limits = AdminServer::Limits())
+      : server(io, Loopback(), limits,
+               {[this] { return ready; }, [] { return std::string("{}"); },
+                [this](const std::string& host, bool out) {
+                  maintained.emplace_back(host, out);
+                  return host != "nobody";
+                }}) {}
+  unsigned Ask(const std::string& text) {
+    Client client(io, server.address());
+    client.Send(text);
+    return client.Await().result_int();
+  }
+
+  asio::io_context io;
+  bool ready = true;
+  std::vector<std::pair<std::string, bool>> maintained;
+  AdminServer server;
+};
+
+// Guards what operators' tools rely on: which calls are a yes, and that each kind of mistake is a no.
+TEST(AdminServer, AnswersEachCallAsItDeserves) {
+  Listener listener;
+  const std::vector<std::pair<std::string, unsigned>> calls = {
+      {"GET /status HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+      {"GET /status/metrics HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+      {"PUT /maintenance/enter?target=h1 HTTP/1.1\r\nHost: a\r\n\r\n", 200},
+      {"PUT /maintenance/exit?x=1&target=h%31 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", 200},
+      {"PUT /maintenance/enter?target=nobody HTTP/1.1\r\n\r\n", 404},
+      {"PUT /maintenance/enter HTTP/1.1\r\n\r\n", 400},
+      {"PUT /maintenance/enter?target= HTTP/1.1\r\n\r\n", 400},
+      {"PUT /maintenance/enter?target=h1&target=h2 HTTP/1.1\r\n\r\n", 400},
+      {"PUT /maintenance/enter?target=%zz HTTP/1.1\r\n\r\n", 400},
+      {"PUT /maintenance/enter?target=%4 HTTP/1.1\r\n\r\n", 400},
+      {"GET /maintenance/enter?target=h1 HTTP/1.1\r\n\r\n", 405},
+      {"POST /status HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
+      {"GET /standby HTTP/1.1\r\n\r\n", 404},
+      {"GET / HTTP/1.1\r\n\r\n", 404},
+      {"BOGUS\r\n\r\n", 400},
+      {"GET /status HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+      {"GET /status HTTP/1.1\r\nX: " + std::string(9000, 'x') + "\r\n\r\n", 400},
+  };
+  for (const auto& [text, status] : calls) EXPECT_EQ(listener.Ask(text), status) << text.substr(0, 80);
+  const std::vector<std::pair<std::string, bool>> expected = {{"h1", true}, {"h1", false}, {"nobody", true}};
+  EXPECT_EQ(listener.maintained, expected);
+  listener.ready = false;
+  EXPECT_EQ(listener.Ask(calls.front().first), 503u);
+}
+
+// Guards operators against callers who say nothing or half a call: they make room, and none stays for long.
+TEST(AdminServer, AnswersBesideCallersWhoSayNothing) {
+  AdminServer::Limits limits;
+  limits.places = 4;
+  limits.whole_call = 60000;
+  Listener listener(limits);
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int i = 0; i < 12; ++i) {
+    silent.push_back(std::make_unique<Client>(listener.io, listener.server.address()));
+    if (i % 2 == 0) silent.back()->Send("GET /sta");
+  }
+  EXPECT_EQ(listener.Ask("GET /status HTTP/1.1\r\n\r\n"), 200u);
+  EXPECT_TRUE(RunUntil(listener.io, [&] {
+    return std::count_if(silent.begin(), silent.end(), [](const auto& c) { return c->ended(); }) >= 9;
+  }));
+}
+
+TEST(AdminServer, EndsHalfACall) {
+  AdminServer::Limits limits;
+  limits.whole_call = 1;
+  Listener listener(limits);
+  Client half(listener.io, listener.server.address());
+  half.Send("GET /sta");
+  EXPECT_EQ(half.Await().result(), http::status::request_timeout);
+  EXPECT_TRUE(half.AwaitEnd());
+}
+
+// Guards the sums: a request that its client left counts under nothing, and a dropped class keeps its
+// figures.
+TEST(Figures, CountEachRequestOnce) {
+  Figures figures;
+  ClassSettings view, pay;
+  view.name = "view";
+  pay.name = "pay";
+  figures.Know({view, pay});
+  for (int i = 0; i < 5; ++i) figures.Taken();
+  figures.Ended("view", Figures::End::kAnswered);
+  figures.Ended("view", Figures::End::kDeferred);
+  figures.Ended("view", Figures::End::kLeft);
+  figures.Ended("pay", Figures::End::kErrored);
+  figures.Sent("pay");
+  figures.Know({pay});
+  figures.Configured(true);
+  figures.Configured(false);
+  figures.Configured(false);
+  const auto json = nlohmann::json::parse(figures.ToJson({7, 2}));
+  const auto counts = [](int answered, int deferred, int errored, int sends) {
+    return nlohmann::json{
+        {"answered", answered}, {"deferred", deferred}, {"errored", errored}, {"sends", sends}};
+  };
+  const nlohmann::json expected = {
+      {"transactions", {{"view", counts(1, 1, 0, 0)}, {"pay", counts(0, 0, 1, 1)}}},
+      {"sends", 1},
+      {"current", 1},
+      {"cluster_size", 7},
+      {"cluster_unhealthy", 2},
+      {"conf_loaded", 1},
+      {"conf_invalid", 2}};
+  EXPECT_EQ(json, expected);
+}
+
+nlohmann::json Metrics(World& world) {
+  Client client(world.io, world.gateway->admin_address());
+  client.Send("GET /status/metrics HTTP/1.1\r\n\r\n");
+  return nlohmann::json::parse(client.Await().body());
+}
+
+unsigned Maintain(World& world, const std::string& call, const std::string& host) {
+  Client client(world.io, world.gateway->admin_address());
+  client.Send("PUT /maintenance/" + call + "?target=" + host + " HTTP/1.1\r\n\r\n");
+  return client.Await().result_int();
+}
+
+// Guards the figures on the way of real requests: served, failed, refused, and one still open.
+TEST(Admin, ShowsWhatBecameOfRequests) {
+  World world(1, TestSettings(), 300, true);
+  const auto one = world.Connect(), two = world.Connect(), three = world.Connect();
+  one->Send(ApiCall("r1"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  world.host().requests[0].Answer(200, "yes");
+  one->Await();
+  two->Send(ApiCall("r2", "pay"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 2; }));
+  world.host().requests[1].Answer(500, "no");
+  EXPECT_EQ(two->Await().result(), http::status::bad_gateway);
+  three->Send(ApiCall("r3", "pay"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 3; }));
+  const auto figures = Metrics(world);
+  EXPECT_EQ(figures["transactions"]["view"]["answered"], 1);
+  EXPECT_EQ(figures["transactions"]["pay"]["errored"], 1);
+  EXPECT_EQ(figures["sends"], 3);
+  EXPECT_EQ(figures["current"], 1);
+  EXPECT_EQ(figures["cluster_size"], 1);
+  world.host().requests[2].Answer(503, "", "Srv-Declined", "1");  // the only host: a refusal follows
+  EXPECT_EQ(three->Await().result(), http::status::service_unavailable);
+  EXPECT_EQ(Metrics(world)["transactions"]["pay"]["deferred"], 1);
+  EXPECT_EQ(Metrics(world)["current"], 0);
+}
+
+// Guards a host that operators work on: nothing goes to it from the yes on, no list brings it back, its idle
+// connections close, and one call puts it back.
+TEST(Admin, LeavesAHostOutUntilItIsPutBack) {
+  World world(2, TestSettings(), 300, true);
+  for (const auto& host : world.hosts) {
+    host->serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  }
+  const auto client = world.Connect();
+  std::size_t asked = 0;
+  const auto ask = [&](std::size_t n) {
+    while (n-- > 0) {
+      client->Send(ApiCall("r" + std::to_string(asked++)));
+      client->Await(asked);
+    }
+  };
+  while (world.host(0).requests.empty() && asked < 200) ask(1);
+  ASSERT_FALSE(world.host(0).requests.empty());
+  EXPECT_EQ(Maintain(world, "enter", "h0"), 200u);
+  EXPECT_EQ(Maintain(world, "enter", "h0"), 200u);
+  EXPECT_EQ(Maintain(world, "enter", "h9"), 404u);
+  EXPECT_TRUE(world.Until([&] { return world.host(0).connections[0]->ended; }));
+  EXPECT_EQ(Metrics(world)["cluster_unhealthy"], 1);
+  const std::size_t before = world.host(0).requests.size();
+  ASSERT_TRUE(world.Until([&] { return !world.discovery.requests.empty(); }));
+  world.discovery.requests[0].Answer(
+      200,
+      List(42, true, {Member("h0", world.host(0).address()), Member("h1", world.host(1).address())}).dump());
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 2; }));
+  ask(50);
+  EXPECT_EQ(world.host(0).requests.size(), before);
+  EXPECT_EQ(Maintain(world, "exit", "h0"), 200u);
+  EXPECT_EQ(Maintain(world, "exit", "h9"), 404u);
+  EXPECT_EQ(Metrics(world)["cluster_unhealthy"], 0);
+  for (int i = 0; i < 3000 && world.host(0).requests.size() == before; ++i) ask(1);
+  EXPECT_GT(world.host(0).requests.size(), before);
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -12,52 +12,11 @@
 #include "gateway/clock.hpp"
 #include "gateway/config.hpp"
 #include "peers.hpp"
+#include "world.hpp"
 
 namespace opalswitch::testing {
 namespace {
 
-// One gateway, its discovery and some hosts.
-struct World {
-  // Starts the gateway, which knows hosts h0, h1 ... from its configuration.
-  explicit World(std::size_t hosts_wanted = 1, nlohmann::json settings = TestSettings(),
-                 std::size_t sockets = 300) {
-    std::vector<nlohmann::json> members;
-    for (std::size_t i = 0; i < hosts_wanted; ++i) {
-      hosts.push_back(std::make_unique<Peer>(io));
-      members.push_back(Member("h" + std::to_string(i), hosts.back()->address()));
-    }
-    const nlohmann::json file = {{"seed", "5"},
-                                 {"limits", {{"sockets", sockets}}},
-                                 {"known", List(41, true, members)},
-                                 {"settings", std::move(settings)}};
-    const std::string path = ::testing::TempDir() + "forkwick-" + std::to_string(getpid()) + ".json";
-    std::ofstream(path) << file;
-    const std::map<std::string, std::string> variables = {{"NODE_CONFIG", path},
-                                                          {"NODE_LISTEN", "127.0.0.1:0"},
-                                                          {"NODE_DISCOVERY", ToText(discovery.address())}};
-    const auto config = gateway::LoadConfig([&](const char* name) {
-      const auto found = variables.find(name);
-      return found == variables.end() ? nullptr : found->second.c_str();
-    });
-    std::remove(path.c_str());
-    gateway.emplace(io, config);
-  }
-
-  template <typename Done>
-  ::testing::AssertionResult Until(Done done) {
-    if (RunUntil(io, done)) return ::testing::AssertionSuccess();
-    return ::testing::AssertionFailure() << "did not come about";
-  }
-
-  std::unique_ptr<Client> Connect() { return std::make_unique<Client>(io, gateway->address()); }
-  Peer& host(std::size_t i = 0) { return *hosts[i]; }
-
-  asio::io_context io;
-  Peer discovery{io};
-  std::vector<std::unique_ptr<Peer>> hosts;
-  std::optional<gateway::Gateway> gateway;
-};
-
 Server MakeHost(const std::string& id) {
   Server server;
   server.id = id;
@@ -532,18 +491,20 @@
   EXPECT_EQ(world.host().requests[0].http.body(), "body");
 }
 
+Policy::Admission ViewOnly(const std::string& name, Effect) {
+  return name == "view" ? Policy::Admission::kYes : Policy::Admission::kNoClass;
+}
+
 // Guards the places of usual clients: those that say nothing, or half a request, are told off or closed in
 // time.
 TEST(ClientServer, EndsSilentAndHalfRequests) {
   asio::io_context io;
-  Settings settings;
-  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
   gateway::ClientLimits limits;
   limits.first_request = limits.whole_request = 1;
   std::vector<gateway::ClientRequest> taken;
   gateway::ClientServer server(
-      io, Loopback(), limits, settings,
-      {[] { return true; }, [&](gateway::ClientRequest r) { taken.push_back(std::move(r)); },
+      io, Loopback(), limits,
+      {[] { return true; }, ViewOnly, [&](gateway::ClientRequest r) { taken.push_back(std::move(r)); },
        [](const std::string&) {}});
   Client silent(io, server.address()), half(io, server.address()), body(io, server.address());
   half.Send("GET /api HTTP/1.1\r\nReq-");
@@ -559,15 +520,13 @@
 // Guards clients between requests against a crowd that connects and says nothing: the crowd makes room.
 TEST(ClientServer, EvictsTheSilentBeforeUsualClients) {
   asio::io_context io;
-  Settings settings;
-  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
   gateway::ClientLimits limits;
   limits.sessions = 4;
   limits.first_request = limits.whole_request = limits.idle = 60000;
   limits.arrival = 0;
   gateway::ClientServer server(
-      io, Loopback(), limits, settings,
-      {[] { return true; }, [](gateway::ClientRequest) {}, [](const std::string&) {}});
+      io, Loopback(), limits,
+      {[] { return true; }, ViewOnly, [](gateway::ClientRequest) {}, [](const std::string&) {}});
   Client usual(io, server.address());
   usual.Send("GET /up HTTP/1.1\r\n\r\n");
   EXPECT_EQ(usual.Await().result(), http::status::ok);
@@ -588,14 +547,12 @@
 // would connect again, and so would all. The kept connection of one that asked before goes first.
 TEST(ClientServer, GivesANewClientAMomentForItsRequest) {
   asio::io_context io;
-  Settings settings;
-  settings.classes.push_back({"view", 20000, 20000, 1, 0, Effect::kSafe, Group::kAll, 0});
   gateway::ClientLimits limits;
   limits.sessions = 3;
   limits.arrival = limits.first_request = limits.idle = 60000;
   gateway::ClientServer server(
-      io, Loopback(), limits, settings,
-      {[] { return true; }, [](gateway::ClientRequest) {}, [](const std::string&) {}});
+      io, Loopback(), limits,
+      {[] { return true; }, ViewOnly, [](gateway::ClientRequest) {}, [](const std::string&) {}});
   Client stayed(io, server.address());
   stayed.Send("GET /up HTTP/1.1\r\n\r\n");
   EXPECT_EQ(stayed.Await().result(), http::status::ok);
@@ -614,7 +571,7 @@
   ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
   Peer moved(world.io), host(world.io);
   host.serve = [](const Peer::Taken& taken) { taken.Answer(200, "new"); };
-  gateway::Config config;
+  gateway::Config config = world.config;
   config.discovery = moved.address();
   // On its way when the address changes: it names a host that must not be believed in.
   world.discovery.requests[0].Answer(200, List(99, true, {Member("h9", world.host().address())}).dump());
@@ -693,13 +650,14 @@
   const auto at = listener.local_endpoint();
   tcp::socket fill(io);
   fill.connect(at);  // takes the one place in the queue
-  gateway::HostPool pool(io, {20000, 60000, 10});
+  gateway::HostPool pool(io, {20000, 60000, 10}, {[](const std::string&) { return true; }});
   gateway::HostList list;
   list.hosts.push_back({MakeHost("h0"), at});
   pool.Update(list);
   std::optional<Result> result;
   const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
-  pool.Start("h0", request, gateway::Now() + 20000, [&](Result r, HttpResponse) { result = r; });
+  pool.Start(
+      "h0", request, gateway::Now() + 20000, [] {}, [&](Result r, HttpResponse) { result = r; });
   list.hosts[0].server.state = ServerState::kDraining;
   pool.Update(list);
   std::vector<tcp::socket> accepted;
@@ -721,15 +679,15 @@
 TEST(HostPool, KeepsToItsLimit) {
   asio::io_context io;
   Peer one(io), two(io);
-  gateway::HostPool pool(io, {5000, 60000, 2});
+  gateway::HostPool pool(io, {5000, 60000, 2}, {[](const std::string&) { return true; }});
   gateway::HostList list;
   list.hosts = {{MakeHost("h1"), one.address()}, {MakeHost("h2"), two.address()}};
   pool.Update(list);
   std::vector<Result> results;
   const auto request = std::make_shared<const HttpRequest>(http::verb::get, "/api", 11);
   const auto start = [&](const char* host) {
-    return pool.Start(host, request, gateway::Now() + 60000,
-                      [&](Result r, HttpResponse) { results.push_back(r); });
+    return pool.Start(
+        host, request, gateway::Now() + 60000, [] {}, [&](Result r, HttpResponse) { results.push_back(r); });
   };
   start("h1");
   const auto second = start("h1");
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -931,6 +931,101 @@
   }
 }
 
+// Guards a server that an operator works on: no list brings it back before the operator does, and then it is
+// given no more than a server that was started just now.
+TEST(ByHand, ServerLeftOutStaysOutUntilItIsPutBackAndIsColdThen) {
+  Gateway g;
+  g.Servers(2);
+  g.Serve(200);
+  EXPECT_EQ(Gateway::Count<Log>(g.Do(ServerOut{"s0"})), 1);
+  g.Do(ServerOut{"s0"});
+  g.Do(ServerOut{"s9"});
+  EXPECT_TRUE(g.policy.knows("s0"));
+  EXPECT_FALSE(g.policy.knows("s9"));
+  EXPECT_FALSE(g.policy.may_use("s0"));
+  EXPECT_EQ(g.policy.census().listed, 2);
+  EXPECT_EQ(g.policy.census().avoided, 1);
+  g.Servers(2);  // listed as up
+  EXPECT_EQ(g.Serve(40)["s0"], 0);
+  g.List({MakeServer("s1")});  // gone for a while
+  EXPECT_EQ(g.policy.census().avoided, 0);
+  g.List({MakeServer("s0", "0", g.now), MakeServer("s1")});  // and back as a new process
+  EXPECT_EQ(g.Serve(40)["s0"], 0);
+  g.Do(ServerBack{"s0"});
+  EXPECT_TRUE(g.policy.may_use("s0"));
+  const int cold = g.Serve(100)["s0"];  // 5 s of the 10 that it takes to warm up
+  EXPECT_GT(cold, 0);
+  EXPECT_LT(cold, 50);
+}
+
+// Guards requests over a change of settings: the open one keeps its class, the old name is taken for a
+// moment, and fewer attempts bind at once.
+TEST(Retune, ChangesBindNewRequestsAndLeaveOpenOnesTheirClass) {
+  Settings settings = MakeSettings();
+  Gateway g(settings);
+  g.Servers(3);
+  const auto ask = [&](const std::string& id, const std::string& cls, Effect effect) {
+    Request r;
+    r.id = id;
+    r.class_name = cls;
+    r.effect = effect;
+    r.time_left = 2000;
+    return Gateway::SentTo(g.Do(r));
+  };
+  const std::string first = ask("open", "view", Effect::kSafe);
+  ASSERT_NE(first, "");
+  settings.classes[0].effect = Effect::kUnsafe;
+  settings.classes[2].name = "book";  // "pay" is dropped
+  g.Do(SettingsChanged{settings});
+  using Admission = Policy::Admission;
+  EXPECT_EQ(g.policy.admits(g.now, "view", Effect::kSafe), Admission::kYes);
+  EXPECT_EQ(g.policy.admits(g.now, "view", Effect::kUnsafe), Admission::kYes);
+  EXPECT_EQ(g.policy.admits(g.now, "book", Effect::kUnsafe), Admission::kYes);
+  EXPECT_EQ(g.policy.admits(g.now, "book", Effect::kSafe), Admission::kNoEffect);
+  EXPECT_EQ(g.policy.admits(g.now, "never", Effect::kSafe), Admission::kNoClass);
+  EXPECT_NE(Gateway::SentTo(g.End("open", first, Result::kError, 10)), "");  // safe when it came
+  const std::string unsafe = ask("new", "view", Effect::kUnsafe);
+  EXPECT_EQ(Gateway::Count<Fail>(g.End("new", unsafe, Result::kError, 10)), 1);
+  EXPECT_NE(ask("late", "pay", Effect::kUnsafe), "");
+  g.Pass(2000);
+  EXPECT_EQ(g.policy.admits(g.now, "view", Effect::kSafe), Admission::kNoEffect);
+  EXPECT_EQ(g.policy.admits(g.now, "pay", Effect::kUnsafe), Admission::kNoClass);
+}
+
+TEST(Retune, FewerAttemptsBindOpenRequestsAndMoreDoNot) {
+  for (const int most : {1, 5}) {
+    Settings settings = MakeSettings();
+    settings.max_attempts = 2;
+    Gateway g(settings);
+    g.Servers(6);
+    g.Serve(100);
+    g.sent.clear();
+    std::string at = Gateway::SentTo(g.Ask("r"));
+    settings.max_attempts = most;
+    g.Do(SettingsChanged{settings});
+    for (int i = 0; !at.empty(); ++i) at = Gateway::SentTo(g.End("r", at, Result::kRejected, 1, i));
+    EXPECT_EQ(g.sent.size(), static_cast<std::size_t>(std::min(most, 2)));
+  }
+}
+
+// Guards memory over a service life of changed files.
+TEST(Retune, HundredsOfChangesLeaveTheClassesThatAreInForce) {
+  Settings settings = MakeSettings();
+  Gateway g(settings);
+  g.Servers(2);
+  for (int i = 0; i < 300; ++i) {
+    settings.classes[0].name = "view" + std::to_string(i);
+    g.Do(SettingsChanged{settings});
+    g.Serve(1, 20, settings.classes[0].name);
+    g.Pass(1000);
+  }
+  EXPECT_EQ(g.policy.admits(g.now, "view298", Effect::kSafe), Policy::Admission::kYes);
+  EXPECT_EQ(g.policy.admits(g.now, "view297", Effect::kSafe), Policy::Admission::kNoClass);
+  settings.classes[0].deadline = 0;
+  EXPECT_THROW(g.Do(SettingsChanged{settings}), std::invalid_argument);
+  EXPECT_EQ(Gateway::Count<Send>(g.Ask("r", "view299")), 1);
+}
+
 TEST(Determinism, SameEventsGiveTheSameActions) {
   Gateway a(MakeSettings(), 7), b(MakeSettings(), 7);
   a.Servers(5);
--- /dev/null
+++ b/tests/world.hpp
@@ -0,0 +1,67 @@
+// A gateway among scripted peers, for tests that look at the whole of it.
+#ifndef OPALSWITCH_TESTS_WORLD_HPP_
+#define OPALSWITCH_TESTS_WORLD_HPP_
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/config.hpp"
+#include "gateway/gateway.hpp"
+#include "peers.hpp"
+
+namespace opalswitch::testing {
+
+// One gateway, its discovery and some hosts.
+struct World {
+  // Starts the gateway, which knows hosts h0, h1 ... from its configuration.
+  explicit World(std::size_t hosts_wanted = 1, nlohmann::json settings = TestSettings(),
+                 std::size_t sockets = 300, bool admin = false) {
+    std::vector<nlohmann::json> members;
+    for (std::size_t i = 0; i < hosts_wanted; ++i) {
+      hosts.push_back(std::make_unique<Peer>(io));
+      members.push_back(Member("h" + std::to_string(i), hosts.back()->address()));
+    }
+    const nlohmann::json file = {{"seed", "5"},
+                                 {"limits", {{"sockets", sockets}}},
+                                 {"known", List(41, true, members)},
+                                 {"settings", std::move(settings)}};
+    const std::string path = ::testing::TempDir() + "forkwick-" + std::to_string(getpid()) + ".json";
+    std::ofstream(path) << file;
+    std::map<std::string, std::string> variables = {{"NODE_CONFIG", path},
+                                                    {"NODE_LISTEN", "127.0.0.1:0"},
+                                                    {"NODE_DISCOVERY", ToText(discovery.address())}};
+    if (admin) variables["NODE_ADMIN"] = "127.0.0.1:0";
+    config = gateway::LoadConfig([&](const char* name) {
+      const auto found = variables.find(name);
+      return found == variables.end() ? nullptr : found->second.c_str();
+    });
+    std::remove(path.c_str());
+    gateway.emplace(io, config);
+  }
+
+  template <typename Done>
+  ::testing::AssertionResult Until(Done done) {
+    if (RunUntil(io, done)) return ::testing::AssertionSuccess();
+    return ::testing::AssertionFailure() << "did not come about";
+  }
+
+  std::unique_ptr<Client> Connect() { return std::make_unique<Client>(io, gateway->address()); }
+  Peer& host(std::size_t i = 0) { return *hosts[i]; }
+
+  asio::io_context io;
+  Peer discovery{io};
+  std::vector<std::unique_ptr<Peer>> hosts;
+  gateway::Config config;
+  std::optional<gateway::Gateway> gateway;
+};
+
+}  // namespace opalswitch::testing
+
+#endif  // OPALSWITCH_TESTS_WORLD_HPP_
