--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -154,8 +154,38 @@
   Settings settings;
 };
 
+// What a Policy has learned, for the one of the process that takes over. Of servers that are not listed, and
+// of classes that are not in force, nothing is taken over but who is left out by hand.
+struct Recollection {
+  struct OfServer {
+    std::string id;
+    double latency = 0, steady = 0, base = 0, limit = 0, failing = 0;
+    int samples = 0;
+    bool suspect = false, lost = false;
+    Millis last_served = 0, cold_since = 0;
+    double cold_credit = 0;
+  };
+  struct OfKind {
+    std::string name;
+    double latency = 0, steady = 0, base = 0;
+    int samples = 0;
+  };
+  struct OfClass {
+    std::string name;
+    double latency = 0, most_left = 0;
+    int samples = 0;
+  };
+  std::vector<OfServer> servers;
+  std::vector<OfKind> kinds;
+  std::vector<OfClass> classes;
+  std::vector<std::string> out_by_hand;
+  double rate = 0, spent_rate = 0, arriving = 0, failing = 0, unserved = 0;
+  double warm_served = 0, warm_time = 0, mean_latency = 0;
+  int samples = 0;
+};
+
 using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews, ServerOut,
-                           ServerBack, SettingsChanged>;
+                           ServerBack, SettingsChanged, Recollection>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
@@ -216,6 +246,7 @@
     int avoided = 0;  // of these: left out by hand, told to drain, or not ready
   };
   Census census() const;
+  Recollection recall() const;
 
  private:
   class Impl;
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -1,11 +1,15 @@
 #include "client_server.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -71,6 +75,22 @@
     ReadHead();
   }
 
+  // Goes on from what another process has read.
+  void Adopted(std::string_view unread) {
+    answered_ = 1;
+    const auto room = buffer_.prepare(unread.size());
+    std::memcpy(room.data(), unread.data(), unread.size());
+    buffer_.commit(unread.size());
+    Begin();
+  }
+
+  // Has the wait for a head end, so that HeadRead may hand the connection over. Bytes that were read by then
+  // arrive there first.
+  void Yield() {
+    error_code ignored;
+    if (phase_ == Phase::kReading && !in_body_) socket_.cancel(ignored);
+  }
+
   // Between requests, with nothing unread: may be closed without losing anything that was taken.
   bool Idle() {
     error_code ec;
@@ -121,6 +141,7 @@
 
   void Enter(Phase phase) {
     phase_ = phase;
+    in_body_ = false;
     since_ = Now();
     begun_at_ = 0;
   }
@@ -131,13 +152,30 @@
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
+    ReadMore();
+  }
+
+  void ReadMore() {
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
                               if (self->phase_ == Phase::kReading) self->HeadRead(ec);
                             });
   }
 
+  bool HandedOver() {
+    const auto unread = buffer_.data();
+    const std::string_view text(static_cast<const char*>(unread.data()), unread.size());
+    if (!server_.pass_ || !server_.pass_(socket_.native_handle(), text)) return false;
+    Close();
+    return true;
+  }
+
   void HeadRead(error_code ec) {
+    if (ec == asio::error::operation_aborted) {
+      // A head that the parser has begun can't be passed on: its request is served here.
+      if (parser_->got_some() || !HandedOver()) ReadMore();
+      return;
+    }
     if (ec) return Unreadable(ec);
     if (FramingOf(parser_->get()) == Framing::kAmbiguous) {
       return Refuse({http::status::bad_request, "where the body ends is not clear"});
@@ -147,6 +185,7 @@
     if (!server_.Reserve(length ? *length : kMostBody, reserved_)) {
       return Refuse({http::status::service_unavailable, "no memory for the body"});
     }
+    in_body_ = true;
     http::async_read(socket_, buffer_, *parser_,
                      [self = shared_from_this()](error_code body_ec, std::size_t) {
                        if (self->phase_ != Phase::kReading) return;
@@ -241,8 +280,9 @@
     ++answered_;
     Enter(Phase::kReading);
     if (buffer_.size() == 0 && buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
+    if (HandedOver()) return;
     ReadHead();
-    if (server_.stopped_ && Idle()) return Close();
+    if (server_.draining_ && Idle()) return Close();
     while (server_.Crowded() && server_.Evict(/*idle_only=*/true)) {
     }
   }
@@ -288,16 +328,25 @@
   Millis came_at_ = 0;   // when the next request was seen behind the one being served
   unsigned version_ = 11;
   bool keep_alive_ = true;
+  bool in_body_ = false;  // a body is being read
 };
 
-ClientServer::ClientServer(asio::io_context& io, const tcp::endpoint& address, const ClientLimits& limits,
+ClientServer::ClientServer(asio::io_context& io, const Door& door, const ClientLimits& limits,
                            Handlers handlers)
     : io_(io), acceptor_(io), limits_(limits), handlers_(std::move(handlers)), sweep_(io), accept_again_(io) {
-  acceptor_.open(address.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.non_blocking(true);
-  acceptor_.bind(address);
-  acceptor_.listen();
+  if (door.listener >= 0) {
+    acceptor_.assign(door.address.protocol(), door.listener);
+    acceptor_.non_blocking(true);
+  } else {
+    acceptor_.open(door.address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (door.shared) {
+      acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+    }
+    acceptor_.non_blocking(true);
+    acceptor_.bind(door.address);
+    acceptor_.listen();
+  }
   Accept();
   Sweep();
 }
@@ -305,7 +354,7 @@
 ClientServer::~ClientServer() = default;
 
 void ClientServer::Accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
+  if (accepting_ || !acceptor_.is_open() || pass_) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
@@ -316,6 +365,7 @@
       if (!Full() || Evict()) Accept();
       return;
     }
+    if (ec == asio::error::operation_aborted) return Accept();  // does nothing while another process serves
     if (ec == asio::error::no_descriptors) Evict();
     accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
     accept_again_.async_wait([this](error_code wait_ec) {
@@ -336,7 +386,7 @@
   if (!Full()) Accept();
 }
 
-bool ClientServer::Waiting() const { return !accepting_ && acceptor_.is_open() && Full(); }
+bool ClientServer::Waiting() const { return !accepting_ && acceptor_.is_open() && !pass_ && Full(); }
 
 // Connections that clients keep after a request and don't use again count against what they may open: past
 // `usual` they shut further clients out, long before places run out here. In a stop the kept ones are all
@@ -369,7 +419,10 @@
 
 void ClientServer::Sweep() {
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
-  for (const auto& session : all) session->Sweep(Now());
+  for (const auto& session : all) {
+    if (pass_) session->Yield();
+    session->Sweep(Now());
+  }
   sweep_.expires_after(Span(kSweepEvery));
   sweep_.async_wait([this](error_code ec) {
     if (!ec) Sweep();
@@ -389,15 +442,48 @@
 }
 
 void ClientServer::Drain(std::function<void()> done) {
-  draining_ = true;
+  draining_ = !pass_;
   stopped_ = std::move(done);
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
-    if (session->Idle()) session->Close();
+    if (!pass_ && session->Idle()) session->Close();
   }
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
 }
 
+void ClientServer::HandOver(Pass pass) {
+  pass_ = std::move(pass);
+  error_code ignored;
+  acceptor_.cancel(ignored);  // one that was accepted by now is still told, and is handed over in its turn
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->Yield();
+}
+
+void ClientServer::TakeBack() {
+  pass_ = nullptr;
+  Accept();
+}
+
+void ClientServer::Adopt(int fd, std::string_view unread) {
+  error_code ec;
+  tcp::socket socket(io_);
+  socket.assign(acceptor_.local_endpoint(ec).protocol(), fd, ec);
+  if (ec || unread.size() > kMostBuffer) {
+    ::close(fd);
+    return;
+  }
+  if (Full()) Evict();
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->Adopted(unread);
+}
+
+void ClientServer::SetPlaces(std::size_t sessions, std::size_t usual) {
+  limits_.sessions = sessions;
+  limits_.usual = usual;
+  if (!Full()) Accept();
+}
+
 std::unique_ptr<ClientServer::Fault> ClientServer::Check(const HttpRequest& http,
                                                          ClientRequest& request) const {
   const auto fault = [](http::status status, std::string text) {
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -34,7 +35,7 @@
   std::uint64_t body_bytes = 16 << 20;  // that requests may hold together
   Millis first_request = 2000;          // from connecting: who says nothing by then is closed
   Millis arrival = 250;                 // of this a new connection is as good as one with a request
-  Millis whole_request = 2000;          // a request that was begun must be whole by then
+  Millis whole_request = 2600;          // a request that was begun must be whole by then
   Millis idle = 10000;                  // a connection without a request is closed
   Millis answer_read = 3000;            // an answer must have been taken in by then
   Millis linger = 500;                  // a client that was told of the close gets this to close first
@@ -49,9 +50,15 @@
     std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
   };
 
+  // Where clients connect: an address to listen at, perhaps along with another process, or a socket that
+  // another process listens at already.
+  struct Door {
+    boost::asio::ip::tcp::endpoint address;
+    bool shared = false;
+    int listener = -1;
+  };
   // Listens at once. Throws boost::system::system_error if it can't.
-  ClientServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-               const ClientLimits& limits, Handlers handlers);
+  ClientServer(boost::asio::io_context& io, const Door& door, const ClientLimits& limits, Handlers handlers);
   ~ClientServer();
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
@@ -62,6 +69,18 @@
   // last one is closed.
   void Drain(std::function<void()> done);
 
+  // Another process serves from now on: nothing is accepted here, and each connection goes to `pass` as it
+  // comes between two requests, with what was read of the next one. What isn't taken is served here.
+  using Pass = std::function<bool(int fd, std::string_view unread)>;
+  void HandOver(Pass pass);
+  // It serves no more: all is as before.
+  void TakeBack();
+  // A connection that another process passed on.
+  void Adopt(int fd, std::string_view unread);
+  int listener() { return acceptor_.native_handle(); }
+  void SetPlaces(std::size_t sessions, std::size_t usual);
+  std::size_t sessions() const { return sessions_.size(); }
+
  private:
   class Session;
   // The order in which connections are closed where places have run out.
@@ -83,7 +102,8 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  const ClientLimits limits_;
+  ClientLimits limits_;
+  Pass pass_;
   std::uint64_t reserved_ = 0;
   const Handlers handlers_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
--- a/src/gateway/config.cpp
+++ b/src/gateway/config.cpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <vector>
 
+#include "handover.hpp"
 #include "wire.hpp"
 
 namespace opalswitch::gateway {
@@ -138,12 +139,17 @@
   json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
   if (!file.is_object()) throw ConfigError(std::string("NODE_CONFIG: '") + path + "' is no JSON object");
   if (in_force != nullptr) NeedKeys(*in_force, file, "");
+  return ParseConfig(std::move(file), variable);
+}
 
+Config ParseConfig(json file, const std::function<const char*(const char*)>& variable) {
   Config config;
   config.listen = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
   config.discovery = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
   if (variable("NODE_ADMIN") != nullptr || file.contains("admin")) {
     config.admin = ReadAddress(variable("NODE_ADMIN"), "NODE_ADMIN", file, "admin");
+    const char* const folder = variable("TMPDIR");
+    if (folder != nullptr) config.handover = HandoverPath(folder, ToText(config.listen));
   }
   if (file.contains("seed")) {
     const std::string text = Scalar(file["seed"]);
--- a/src/gateway/config.hpp
+++ b/src/gateway/config.hpp
@@ -35,6 +35,7 @@
   Millis dial_timeout = 250;
   Millis idle_timeout = 15000;                 // a host closes a connection that stood idle for this long
   HostList known;                              // may be old
+  std::string handover;                        // where the next process finds this one; empty if it is not to
   std::shared_ptr<const nlohmann::json> file;  // as it was read, less the list of hosts
 };
 
@@ -42,6 +43,8 @@
 // must have each of its keys, but for those that may be absent. Throws ConfigError; what it returns works.
 Config LoadConfig(const std::function<const char*(const char*)>& variable,
                   const nlohmann::json* in_force = nullptr);
+// The same for a file that was read already.
+Config ParseConfig(nlohmann::json file, const std::function<const char*(const char*)>& variable);
 
 }  // namespace opalswitch::gateway
 
--- a/src/gateway/discovery.cpp
+++ b/src/gateway/discovery.cpp
@@ -63,6 +63,31 @@
   return tcp::endpoint(address, port);
 }
 
+std::string ToText(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+std::string ToText(const HostList& list) {
+  json members = json::array();
+  for (const Host& host : list.hosts) {
+    const Server& s = host.server;
+    members.push_back({{"id", s.id},
+                       {"host_port", ToText(host.address)},
+                       {"locality", s.zone},
+                       {"flavor", s.kind},
+                       {"phase", s.state == ServerState::kUp         ? "up"
+                                 : s.state == ServerState::kDraining ? "draining"
+                                                                     : "removed"},
+                       {"size", s.weight},
+                       {"up_since_ms", s.started_at}});
+    // As it came: a number, or any other JSON.
+    members.back()["cell"] = json::parse(s.cell, nullptr, false);
+    if (s.cell.empty()) members.back().erase("cell");
+  }
+  return json{{"revision", list.revision}, {"complete", list.complete}, {"members", members}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<HostList> ParseHostList(std::string_view text) {
   try {
     const json parsed = json::parse(text);
@@ -88,7 +113,8 @@
   boost::beast::flat_buffer buffer;
 };
 
-Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::int64_t revision, Handlers handlers)
+Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::optional<std::int64_t> revision,
+                     Handlers handlers)
     : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
 
 void Discovery::Watch() {
--- a/src/gateway/discovery.hpp
+++ b/src/gateway/discovery.hpp
@@ -30,6 +30,9 @@
 
 // "10.1.0.18:3000"; nothing if it is anything else.
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
+std::string ToText(const boost::asio::ip::tcp::endpoint& endpoint);
+// A list in discovery's form.
+std::string ToText(const HostList& list);
 // Nothing if the text is broken in any part: half a list must not pass for a whole one.
 std::optional<HostList> ParseHostList(std::string_view text);
 
@@ -39,8 +42,9 @@
     std::function<void(HostList)> told;
     std::function<void()> failed;  // the watch has ended; Watch() begins a new one
   };
-  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address, std::int64_t revision,
-            Handlers handlers);
+  // Without a revision the whole list is asked for first.
+  Discovery(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address,
+            std::optional<std::int64_t> revision, Handlers handlers);
 
   // Begins a watch, from the last revision known; does nothing while one is on.
   void Watch();
@@ -48,6 +52,9 @@
   // for.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
+  const boost::asio::ip::tcp::endpoint& address() const { return address_; }
+  std::optional<std::int64_t> revision() const { return revision_; }
+
  private:
   struct Call;
   void Ask();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdio>
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -28,33 +29,37 @@
 constexpr double kHostShare = 0.45;  // of the descriptors left; an attempt out holds one, as its client does
 constexpr double kUsualShare = 0.3;  // of all descriptors: clients hold a third of them at the most
 constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
-constexpr double kMostLoad = 1e6;    // no host can report more of anything
+constexpr std::size_t kOwnSockets = 16;  // that a process holds beside those of clients and hosts, about
+constexpr double kMostLoad = 1e6;        // no host can report more of anything
 
 // Descriptors that may be used for clients and hosts, by the configuration and by the system.
-std::size_t Usable(const Config& config) {
+// `others` are held by another process of this gateway.
+std::size_t Usable(const Config& config, std::size_t others = 0) {
   rlimit limit{};
   std::size_t all = config.sockets;
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
     all = std::min<std::size_t>(config.sockets, limit.rlim_cur);
   }
   const std::size_t spare = kSpareSockets + (config.admin ? kAdminSockets : 0);
-  return all > 2 * spare ? all - spare : all / 2;
+  const std::size_t usable = all > 2 * spare ? all - spare : all / 2;
+  return std::max(usable / 4, usable - std::min(usable, others));
 }
 
-std::size_t HostSockets(const Config& config) {
-  return std::max<std::size_t>(1, static_cast<std::size_t>(static_cast<double>(Usable(config)) * kHostShare));
+std::size_t HostSockets(const Config& config, std::size_t others = 0) {
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(static_cast<double>(Usable(config, others)) * kHostShare));
 }
 
 // The module is told how many attempts there are descriptors for.
-Settings Fitted(const Config& config) {
+Settings Fitted(const Config& config, std::size_t others = 0) {
   Settings settings = config.settings;
-  settings.most_out = static_cast<int>(HostSockets(config));
+  settings.most_out = static_cast<int>(HostSockets(config, others));
   return settings;
 }
 
-ClientLimits LimitsFor(const Config& config) {
+ClientLimits LimitsFor(const Config& config, std::size_t others = 0) {
   ClientLimits limits;
-  const std::size_t usable = Usable(config), hosts = HostSockets(config);
+  const std::size_t usable = Usable(config, others), hosts = HostSockets(config, others);
   limits.sessions = usable > hosts ? usable - hosts : 1;
   limits.usual = static_cast<std::size_t>(static_cast<double>(config.sockets) * kUsualShare);
   limits.body_bytes = static_cast<std::uint64_t>(std::max(1.0, config.memory_mb * kBodyShare) * (1 << 20));
@@ -105,18 +110,26 @@
 }  // namespace
 
 // Hosts and clients have descriptors of their own: both sides together stay under the limit.
-Gateway::Gateway(asio::io_context& io, const Config& config)
+Gateway::Gateway(asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
+                 std::optional<GatewayState> state)
     : io_(io),
-      settings_(Fitted(config)),
+      settings_(Fitted(config, state ? state->descriptors : 0)),
       policy_(settings_, config.seed),
-      hosts_(io, {config.dial_timeout, config.idle_timeout, HostSockets(config)},
+      hosts_(io, {config.dial_timeout, config.idle_timeout, static_cast<std::size_t>(settings_.most_out)},
              {[this](const std::string& host) { return policy_.may_use(host); }}),
-      discovery_(io, config.discovery, config.known.revision,
+      discovery_(io, config.discovery,
+                 !state                  ? std::optional(config.known.revision)
+                 : state->revision_known ? std::optional(state->hosts.revision)
+                                         : std::nullopt,
                  {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
+      config_(config),
+      file_(config.file),
+      others_(state ? state->descriptors : 0),
       stop_(io),
       ask_again_(io),
       clients_(
-          io, config.listen, LimitsFor(config),
+          io, {config.listen, config.admin.has_value(), inheritance ? inheritance->listener.release() : -1},
+          LimitsFor(config, others_),
           {[this] { return listed_ && !stopping_; },
            [this](const std::string& name, Effect effect) { return policy_.admits(Now(), name, effect); },
            [this](ClientRequest request) { Take(std::move(request)); },
@@ -128,13 +141,68 @@
         AdminServer::Handlers{[this] { return listed_ && !stopping_; },
                               [this] { return figures_.ToJson(policy_.census()); },
                               [this](const std::string& host, bool out) { return Maintain(host, out); }});
+    succession_.emplace(io, config.handover, inheritance ? std::move(inheritance->link) : Descriptor(),
+                        SuccessionHandlers());
   }
-  Told(config.known);
+  Told(state ? state->hosts : config.known);
+  if (state) Report(std::move(state->learned));
   if (!settings_.ask_for_list) discovery_.Watch();
 }
 
+Succession::Handlers Gateway::SuccessionHandlers() {
+  return {
+      [this] { return StateText(); },
+      [this] { return clients_.listener(); },
+      [this] { return clients_.sessions() + hosts_.connections() + kOwnSockets; },
+      [this] { HandOver(); },
+      [this] { TakeBack(); },
+      [this](std::size_t others) { Share(others); },
+      [this](std::string_view unread, Descriptor socket) { clients_.Adopt(socket.release(), unread); },
+      [this](const std::string& host, const asio::ip::tcp::endpoint& address, Descriptor socket) {
+        hosts_.Adopt(host, address, socket.release());
+      },
+      [this](const std::string& host, bool out) { Maintained(host, out); },
+  };
+}
+
+std::string Gateway::StateText() {
+  GatewayState state;
+  state.file = file_->dump();
+  state.discovery = ToText(discovery_.address());
+  state.revision_known = discovery_.revision().has_value();
+  state.hosts.revision = discovery_.revision().value_or(0);
+  for (const auto& [id, host] : list_) state.hosts.hosts.push_back(host);
+  state.learned = policy_.recall();
+  state.descriptors = clients_.sessions() + hosts_.connections() + kOwnSockets;
+  return ToText(state);
+}
+
+void Gateway::HandOver() {
+  clients_.HandOver(
+      [this](int socket, std::string_view unread) { return succession_->PassClient(socket, unread); });
+  hosts_.PassIdle([this](const std::string& host, const asio::ip::tcp::endpoint& address, int socket) {
+    return succession_->PassHost(host, address, socket);
+  });
+}
+
+void Gateway::TakeBack() {
+  hosts_.PassIdle(nullptr);
+  clients_.TakeBack();
+}
+
+void Gateway::Share(std::size_t others) {
+  if (others == std::exchange(others_, others)) return;
+  const ClientLimits limits = LimitsFor(config_, others_);
+  clients_.SetPlaces(limits.sessions, limits.usual);
+  settings_.most_out = static_cast<int>(HostSockets(config_, others_));
+  hosts_.SetMost(static_cast<std::size_t>(settings_.most_out));
+  Report(SettingsChanged{settings_});
+}
+
 void Gateway::Reload(const Config& config) {
-  settings_ = Fitted(config);
+  file_ = config.file;
+  settings_ = config.settings;
+  settings_.most_out = static_cast<int>(HostSockets(config_, others_));
   hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
   figures_.Know(settings_.classes);
   figures_.Configured(true);
@@ -144,13 +212,15 @@
 
 bool Gateway::Maintain(const std::string& host, bool out) {
   if (!policy_.knows(host)) return false;
-  if (!out) {
-    Report(ServerBack{host});
-    return true;
-  }
+  Maintained(host, out);
+  succession_->Maintained(host, out);
+  return true;
+}
+
+void Gateway::Maintained(const std::string& host, bool out) {
+  if (!out) return Report(ServerBack{host});
   Report(ServerOut{host});
   hosts_.Rest(host);
-  return true;
 }
 
 void Gateway::Take(ClientRequest request) {
@@ -183,8 +253,17 @@
 
 void Gateway::Told(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
+  if (list.complete) list_.clear();
+  for (const Host& host : list.hosts) {
+    if (host.server.state == ServerState::kGone) {
+      list_.erase(host.server.id);
+    } else {
+      list_[host.server.id] = host;
+    }
+  }
   listed_ = listed_ || !list.hosts.empty();
   Report(ToNews(list));
+  if (listed_ && succession_) succession_->Serve();
 }
 
 void Gateway::ListFailed() {
@@ -345,6 +424,11 @@
     clients_.Drain(done);
     after(times.answer - times.serve, fail_rest);
   };
+  // The next process takes what comes; here only what was taken is finished.
+  if (succession_ && succession_->succeeded()) {
+    clients_.Drain(done);
+    return after(times.answer, fail_rest);
+  }
   after(times.accept, [this, after, times, drain] {
     clients_.StopListening();
     after(times.serve - times.accept, drain);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,13 +22,18 @@
 #include "figures.hpp"
 #include "host_pool.hpp"
 #include "opalswitch/policy.hpp"
+#include "state_text.hpp"
+#include "succession.hpp"
 
 namespace opalswitch::gateway {
 
 class Gateway {
  public:
   // Listens and watches at once. Throws std::exception if the settings or the address can't work.
-  Gateway(boost::asio::io_context& io, const Config& config);
+  Gateway(boost::asio::io_context& io, const Config& config) : Gateway(io, config, {}, {}) {}
+  // Follows another process: begins with what that one knows, and at its listening socket.
+  Gateway(boost::asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
+          std::optional<GatewayState> state);
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
@@ -73,6 +79,15 @@
   void Take(ClientRequest request);
   void Left(const std::string& id);
   bool Maintain(const std::string& host, bool out);
+  // The same without telling the other process.
+  void Maintained(const std::string& host, bool out);
+  Succession::Handlers SuccessionHandlers();
+  std::string StateText();
+  // The next process serves: everything that is idle goes there.
+  void HandOver();
+  void TakeBack();
+  // Shares the descriptors out anew: the process before this one still holds so many of them.
+  void Share(std::size_t others);
   void Told(const HostList& list);
   void ListFailed();
   void Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response);
@@ -104,12 +119,17 @@
   std::unordered_map<std::string, Flow> flows_;
   std::deque<Event> events_;
   bool reporting_ = false;
-  bool listed_ = false;  // some list of hosts is known
+  const Config config_;  // as at the start
+  std::shared_ptr<const nlohmann::json> file_;
+  std::map<std::string, Host> list_;  // as discovery told it
+  std::size_t others_ = 0;            // descriptors that the process before this one holds
+  bool listed_ = false;               // some list of hosts is known
   bool stopping_ = false;
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
   ClientServer clients_;
   std::optional<AdminServer> admin_;
+  std::optional<Succession> succession_;
 };
 
 }  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/gateway/handover.cpp
@@ -0,0 +1,203 @@
+#include "handover.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <vector>
+
+#include "clock.hpp"
+
+namespace opalswitch::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr Millis kAskWithin = 3000;  // the platform gives a new process 6 s to serve
+constexpr std::size_t kMostPath = sizeof(sockaddr_un::sun_path) - 8;  // with room for a suffix
+
+// Only processes of the same user may take a gateway over.
+bool SameUser(int link) {
+  ucred peer{};
+  socklen_t size = sizeof peer;
+  return ::getsockopt(link, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == ::getuid();
+}
+
+sockaddr_un Address(const std::string& path) {
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  std::memcpy(address.sun_path, path.data(), std::min(path.size(), sizeof address.sun_path - 1));
+  return address;
+}
+
+}  // namespace
+
+Descriptor::~Descriptor() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor) {
+  char mark = static_cast<char>(kind);
+  iovec parts[2] = {{&mark, 1}, {const_cast<char*>(text.data()), text.size()}};
+  msghdr message{};
+  message.msg_iov = parts;
+  message.msg_iovlen = 2;
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof descriptor)] = {};
+  if (descriptor >= 0) {
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    cmsghdr* const head = CMSG_FIRSTHDR(&message);
+    head->cmsg_level = SOL_SOCKET;
+    head->cmsg_type = SCM_RIGHTS;
+    head->cmsg_len = CMSG_LEN(sizeof descriptor);
+    std::memcpy(CMSG_DATA(head), &descriptor, sizeof descriptor);
+  }
+  return ::sendmsg(link, &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
+}
+
+std::optional<Message> ReceiveMessage(int link, bool& ended) {
+  std::vector<char> text(kMostMessage + 1);
+  iovec part = {text.data(), text.size()};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  message.msg_control = control;
+  message.msg_controllen = sizeof control;
+  const ssize_t got = ::recvmsg(link, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+  if (got <= 0) {
+    ended = got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    return std::nullopt;
+  }
+  Message received;
+  received.kind = static_cast<Message::Kind>(text[0]);
+  received.text.assign(text.data() + 1, static_cast<std::size_t>(got - 1));
+  const cmsghdr* const head = CMSG_FIRSTHDR(&message);
+  if (head != nullptr && head->cmsg_type == SCM_RIGHTS) {
+    int fd = -1;
+    std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
+    received.descriptor = Descriptor(fd);
+  }
+  return received;
+}
+
+struct Link::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, Descriptor fd) : socket(io, fd.release()) {}
+
+  void Wait() {
+    socket.async_wait(asio::posix::stream_descriptor::wait_read, [self = shared_from_this()](error_code ec) {
+      if (!ec) self->Read();
+    });
+  }
+
+  void Read() {
+    bool over = false;
+    while (auto message = ReceiveMessage(socket.native_handle(), over)) {
+      handlers.got(std::move(*message));
+      if (!socket.is_open()) return;
+    }
+    if (!over) return Wait();
+    error_code ignored;
+    socket.close(ignored);
+    const auto ended = handlers.ended;  // it may be the end of this link
+    ended();
+  }
+
+  asio::posix::stream_descriptor socket;
+  Handlers handlers;
+};
+
+Link::Link(asio::io_context& io, Descriptor socket)
+    : state_(std::make_shared<State>(io, std::move(socket))) {}
+
+Link::~Link() {
+  error_code ignored;
+  state_->socket.close(ignored);
+}
+
+void Link::Listen(Handlers handlers) {
+  state_->handlers = std::move(handlers);
+  state_->Wait();
+}
+
+bool Link::Send(Message::Kind kind, std::string_view text, int descriptor) {
+  return state_->socket.is_open() && SendMessage(state_->socket.native_handle(), kind, text, descriptor);
+}
+
+std::string HandoverPath(const std::string& folder, const std::string& listen) {
+  std::string name = "forkwick-" + listen;
+  std::replace(name.begin(), name.end(), ':', '-');
+  const std::string path = folder + "/" + name;
+  return path.size() > kMostPath ? "" : path;
+}
+
+std::optional<Inheritance> AskPredecessor(const std::string& path) {
+  if (path.empty()) return std::nullopt;
+  Descriptor link(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
+  const sockaddr_un address = Address(path);
+  if (!link || ::connect(link.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      !SameUser(link.get())) {
+    return std::nullopt;
+  }
+  Inheritance inheritance;
+  for (const Millis until = Now() + kAskWithin; Now() < until;) {
+    pollfd wait = {link.get(), POLLIN, 0};
+    ::poll(&wait, 1, static_cast<int>(std::max(1.0, until - Now())));
+    bool ended = false;
+    while (auto message = ReceiveMessage(link.get(), ended)) {
+      if (message->descriptor) inheritance.listener = std::move(message->descriptor);
+      inheritance.state += message->text;
+      if (message->kind != Message::Kind::kEnd) continue;
+      if (!inheritance.listener) return std::nullopt;
+      inheritance.link = std::move(link);
+      return inheritance;
+    }
+    if (ended) return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+HandoverServer::HandoverServer(asio::io_context& io, std::string path, std::function<void(Descriptor)> asked)
+    : path_(std::move(path)), asked_(std::move(asked)), listener_(io) {}
+
+HandoverServer::~HandoverServer() = default;
+
+bool HandoverServer::Listen() {
+  const std::string made = path_ + ".new";
+  ::unlink(made.c_str());
+  Descriptor socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  const sockaddr_un address = Address(made);
+  if (!socket || ::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      ::chmod(made.c_str(), 0600) != 0 || ::listen(socket.get(), 4) != 0 ||
+      std::rename(made.c_str(), path_.c_str()) != 0) {
+    return false;
+  }
+  Close();
+  error_code ec;
+  listener_.assign(socket.release(), ec);
+  if (!ec) Accept();
+  return !ec;
+}
+
+void HandoverServer::Close() {
+  error_code ignored;
+  listener_.close(ignored);
+}
+
+void HandoverServer::Accept() {
+  listener_.async_wait(asio::posix::stream_descriptor::wait_read, [this](error_code ec) {
+    if (ec || !listener_.is_open()) return;
+    Descriptor link(::accept4(listener_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+    if (link && SameUser(link.get())) asked_(std::move(link));
+    if (listener_.is_open()) Accept();
+  });
+}
+
+}  // namespace opalswitch::gateway
--- /dev/null
+++ b/src/gateway/handover.hpp
@@ -0,0 +1,108 @@
+// The hand-over from one process to the next while clients are served: the way that both find each other, and
+// the messages and descriptors that pass between them. What is handed over is for others to say.
+#ifndef OPALSWITCH_GATEWAY_HANDOVER_HPP_
+#define OPALSWITCH_GATEWAY_HANDOVER_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace opalswitch::gateway {
+
+// An open descriptor, closed with its owner.
+class Descriptor {
+ public:
+  Descriptor() = default;
+  explicit Descriptor(int fd) : fd_(fd) {}
+  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Descriptor& operator=(Descriptor&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  ~Descriptor();
+
+  explicit operator bool() const { return fd_ >= 0; }
+  int get() const { return fd_; }
+  int release() { return std::exchange(fd_, -1); }
+
+ private:
+  int fd_ = -1;
+};
+
+struct Message {
+  enum class Kind : char {
+    kState = 'S',   // old to new: a piece of what it knows; the first has the clients' listening socket
+    kEnd = 'E',     // old to new: the state is whole
+    kReady = 'R',   // new to old: it serves
+    kClient = 'C',  // old to new: a client's connection, with what was read of its next request
+    kHost = 'H',    // old to new: an idle connection to a host, with that host's id and address
+    kHeld = 'D',    // old to new: how many descriptors it still holds
+    kOut = 'O',     // both ways: a host was left out by hand, or put back
+    kBack = 'B',
+  };
+  Kind kind = Kind::kEnd;
+  std::string text;
+  Descriptor descriptor;
+};
+
+constexpr std::size_t kMostMessage = 32 * 1024;  // longer texts go in pieces
+
+// A message at once, without waiting; false if it can't be sent now.
+bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor = -1);
+// The next one, if there is any by now; nothing at the end of the link too, with `ended` set.
+std::optional<Message> ReceiveMessage(int link, bool& ended);
+
+// One end of a link between two processes.
+class Link {
+ public:
+  struct Handlers {
+    std::function<void(Message)> got;
+    std::function<void()> ended;
+  };
+  Link(boost::asio::io_context& io, Descriptor socket);
+  ~Link();
+  void Listen(Handlers handlers);
+  bool Send(Message::Kind kind, std::string_view text, int descriptor = -1);
+
+ private:
+  struct State;
+  const std::shared_ptr<State> state_;
+};
+
+// Where a process that listens for clients at `listen` is found by the next one; empty if it can't be.
+std::string HandoverPath(const std::string& folder, const std::string& listen);
+
+struct Inheritance {
+  std::string state;
+  Descriptor listener;  // the clients'
+  Descriptor link;
+};
+// Asks the process that is found at `path`, if there is one and it answers in time. Waits for it.
+std::optional<Inheritance> AskPredecessor(const std::string& path);
+
+// Waits for the next process.
+class HandoverServer {
+ public:
+  HandoverServer(boost::asio::io_context& io, std::string path, std::function<void(Descriptor)> asked);
+  ~HandoverServer();
+  // From now on the next process finds this one; false if it can't. Takes the place of whoever was found
+  // there.
+  bool Listen();
+  void Close();
+
+ private:
+  void Accept();
+  const std::string path_;
+  const std::function<void(Descriptor)> asked_;
+  boost::asio::posix::stream_descriptor listener_;
+};
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_HANDOVER_HPP_
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -1,6 +1,7 @@
 #include "host_pool.hpp"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/connect.hpp>
@@ -75,6 +76,19 @@
     return true;
   }
 
+  // The same with a socket that is connected already.
+  bool Assign(int fd) {
+    error_code ec;
+    socket_.assign(address_.protocol(), fd, ec);
+    if (ec) return false;
+    socket_.non_blocking(true, ec);
+    ++pool_.connections_;
+    open_ = true;
+    return !ec && Fresh();
+  }
+
+  bool Pass() { return Fresh() && pool_.pass_(host_, address_, socket_.native_handle()); }
+
   void Dial(Job job) {
     Take(std::move(job));
     Arm(std::min(job_->deadline, Now() + pool_.limits_.dial_timeout));
@@ -113,6 +127,21 @@
     timer_.cancel();
   }
 
+  void Rest() {
+    if (pool_.pass_ && Pass()) return Close();
+    parser_.reset();
+    outgoing_ = {};
+    if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
+    rested_at_ = Now();
+    Arm(rested_at_ + pool_.limits_.idle_timeout * kIdleShare);
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), turn = ++turn_](error_code) {
+      if (!self->open_ || self->turn_ != turn) return;
+      self->pool_.Forget(self->host_, self.get());
+      self->Close();
+    });
+    pool_.hosts_[host_].idle.push_back(shared_from_this());
+  }
+
  private:
   void Take(Job job) {
     job_ = std::move(job);
@@ -226,20 +255,6 @@
     Finish(result, std::move(response));
   }
 
-  void Rest() {
-    parser_.reset();
-    outgoing_ = {};
-    if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
-    rested_at_ = Now();
-    Arm(rested_at_ + pool_.limits_.idle_timeout * kIdleShare);
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(), turn = ++turn_](error_code) {
-      if (!self->open_ || self->turn_ != turn) return;
-      self->pool_.Forget(self->host_, self.get());
-      self->Close();
-    });
-    pool_.hosts_[host_].idle.push_back(shared_from_this());
-  }
-
   HostPool& pool_;
   const std::string host_;
   const tcp::endpoint address_;
@@ -324,6 +339,31 @@
   connection->End(Result::kCancelled);
 }
 
+void HostPool::PassIdle(Pass pass) {
+  pass_ = std::move(pass);
+  if (!pass_) return;
+  for (auto& [id, host] : hosts_) {
+    std::erase_if(host.idle, [](const auto& connection) {
+      if (!connection->Pass()) return false;
+      connection->Close();
+      return true;
+    });
+  }
+}
+
+void HostPool::Adopt(const std::string& host, const tcp::endpoint& address, int fd) {
+  if (connections_ >= limits_.connections || !MayUse(host, address)) {
+    ::close(fd);
+    return;
+  }
+  const auto connection = std::make_shared<Connection>(*this, host, address);
+  if (connection->Assign(fd)) {
+    connection->Rest();
+  } else {
+    connection->Close();
+  }
+}
+
 void HostPool::CloseIdle(HostState& host) {
   for (const auto& connection : std::exchange(host.idle, {})) connection->Close();
 }
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -50,6 +50,15 @@
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt);
 
+  // Idle connections, those that are now and those that will be, go to `pass` instead of back to the pool;
+  // what it doesn't take is kept. Null: they are kept again.
+  using Pass =
+      std::function<bool(const std::string& host, const boost::asio::ip::tcp::endpoint& address, int fd)>;
+  void PassIdle(Pass pass);
+  // Takes a connection that another process passed on, if it is of use.
+  void Adopt(const std::string& host, const boost::asio::ip::tcp::endpoint& address, int fd);
+  void SetMost(std::size_t connections) { limits_.connections = connections; }
+
   std::size_t connections() const { return connections_; }
 
  private:
@@ -68,6 +77,7 @@
   boost::asio::io_context& io_;
   Limits limits_;
   const Handlers handlers_;
+  Pass pass_;
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
   std::size_t connections_ = 0;
--- /dev/null
+++ b/src/gateway/state_text.hpp
@@ -0,0 +1,29 @@
+// What one process tells the next of itself, as JSON text.
+#ifndef OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
+#define OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
+
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+#include "discovery.hpp"
+#include "opalswitch/policy.hpp"
+
+namespace opalswitch::gateway {
+
+struct GatewayState {
+  std::string file;       // the configuration in force
+  std::string discovery;  // its address
+  HostList hosts;         // as discovery told them
+  bool revision_known = false;
+  Recollection learned;
+  std::size_t descriptors = 0;  // that the process holds
+};
+
+std::string ToText(const GatewayState& state);
+// Nothing if the text is broken, or of a version that says less.
+std::optional<GatewayState> ParseState(const std::string& text);
+
+}  // namespace opalswitch::gateway
+
+#endif  // OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -91,6 +91,8 @@
            std::find(departed_.begin(), departed_.end(), id) != departed_.end();
   }
 
+  using State::Recall;
+
   bool MayUse(const std::string& id) const {
     const auto found = servers_.find(id);
     return found != servers_.end() && found->second.up;
@@ -180,6 +182,11 @@
     CountUp();
   }
 
+  void On(const Recollection& learned) {
+    Remember(learned);
+    CountUp();
+  }
+
   void CountUp() {
     up_ = 0;
     for (auto& [id, b] : servers_) up_ += b.up;
@@ -765,5 +772,6 @@
   return impl_->Admits(now, class_name, effect);
 }
 Policy::Census Policy::census() const { return impl_->Count(); }
+Recollection Policy::recall() const { return impl_->Recall(); }
 
 }  // namespace opalswitch
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -3,6 +3,7 @@
 #define OPALSWITCH_STATE_HPP_
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <limits>
@@ -210,6 +211,50 @@
     --queued_;
   }
 
+  Recollection Recall() const {
+    Recollection r;
+    for (const auto& [id, b] : servers_) {
+      if (!b.listed) continue;
+      r.servers.push_back({id, b.latency, b.steady, b.base, b.limit, b.failing, b.samples, b.suspect, b.lost,
+                           b.last_served, b.cold_since, b.cold_credit});
+    }
+    for (const auto& [name, k] : kinds_) r.kinds.push_back({name, k.latency, k.steady, k.base, k.samples});
+    for (const Tier& c : classes_) r.classes.push_back({c.set.name, c.latency, c.most_left, c.samples});
+    r.out_by_hand.assign(out_by_hand_.begin(), out_by_hand_.end());
+    r.rate = rate_, r.spent_rate = spent_rate_, r.arriving = arriving_, r.failing = failing_;
+    r.unserved = unserved_, r.warm_served = warm_served_, r.warm_time = warm_time_;
+    r.mean_latency = mean_latency_, r.samples = samples_;
+    return r;
+  }
+
+  void Remember(const Recollection& r) {
+    for (const auto& of : r.kinds) {
+      Kind& k = kinds_[of.name];
+      k.latency = of.latency, k.steady = of.steady, k.base = of.base, k.samples = of.samples;
+    }
+    for (const auto& of : r.servers) {
+      const auto found = servers_.find(of.id);
+      if (found == servers_.end()) continue;
+      Backend& b = found->second;
+      b.latency = of.latency, b.steady = of.steady, b.base = of.base, b.samples = of.samples;
+      if (of.limit > 0) b.limit = of.limit, b.places = std::max(1.0, std::floor(of.limit));
+      b.failing = of.failing, b.suspect = of.suspect, b.lost = of.lost, b.last_served = of.last_served;
+      b.cold_since = std::max(b.cold_since, of.cold_since);
+      b.cold_credit = std::min(b.cold_credit, of.cold_credit);
+    }
+    for (const auto& of : r.classes) {
+      Tier* const c = TierOf(of.name, std::nullopt, now_);
+      if (c != nullptr) c->latency = of.latency, c->most_left = of.most_left, c->samples = of.samples;
+    }
+    for (const std::string& id : r.out_by_hand) {
+      out_by_hand_.insert(id);
+      if (const auto found = servers_.find(id); found != servers_.end()) found->second.up = false;
+    }
+    rate_ = r.rate, spent_rate_ = r.spent_rate, arriving_ = r.arriving, failing_ = r.failing;
+    unserved_ = r.unserved, warm_served_ = r.warm_served, warm_time_ = r.warm_time;
+    mean_latency_ = r.mean_latency, samples_ = r.samples;
+  }
+
   // Puts the servers that are up on a ring, those of each kind evenly, by an order that all gateways share.
   void OrderRing() {
     ring_.clear();
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,139 @@
+// What passes between two processes of one gateway: messages, descriptors, and what is told of the state.
+#include "gateway/handover.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+
+#include "gateway/state_text.hpp"
+#include "gateway/succession.hpp"
+#include "peers.hpp"
+
+namespace opalswitch::testing {
+namespace {
+
+using gateway::Descriptor;
+using gateway::Message;
+
+// One side of a change of version that counts what it is told.
+struct Side {
+  gateway::Succession::Handlers Handlers() {
+    return {[this] { return state; },
+            [this] { return listener; },
+            [] { return std::size_t{7}; },
+            [this] { ++succeeded; },
+            [this] { ++abandoned; },
+            [this](std::size_t n) { others.push_back(n); },
+            [this](std::string_view unread, Descriptor fd) {
+              clients.emplace_back(std::string(unread), std::move(fd));
+            },
+            [this](const std::string& host, const tcp::endpoint& at, Descriptor) {
+              hosts.push_back(host + "@" + ToText(at));
+            },
+            [this](const std::string& host, bool out) { maintained.push_back((out ? "-" : "+") + host); }};
+  }
+  std::string state;
+  int listener = -1, succeeded = 0, abandoned = 0;
+  std::vector<std::size_t> others;
+  std::vector<std::pair<std::string, Descriptor>> clients;
+  std::vector<std::string> hosts, maintained;
+};
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/forkwick-XXXXXX";
+    path = mkdtemp(name);
+  }
+  ~Folder() {
+    std::remove(gateway::HandoverPath(path, "x").c_str());
+    rmdir(path.c_str());
+  }
+  std::string path;
+};
+
+// Guards the whole course of a change of version, with a state longer than one message.
+TEST(Succession, PassesAllOnAndTakesItBack) {
+  asio::io_context io;
+  Folder folder;
+  const std::string path = gateway::HandoverPath(folder.path, "x");
+  EXPECT_FALSE(gateway::AskPredecessor(path));
+  tcp::acceptor door(io, Loopback());
+  Side first, second;
+  first.state = std::string(100000, 's') + "end";
+  first.listener = door.native_handle();
+  gateway::Succession old(io, path, Descriptor(), first.Handlers());
+  old.Serve();
+  auto asked = std::async(std::launch::async, [&] { return gateway::AskPredecessor(path); });
+  ASSERT_TRUE(
+      RunUntil(io, [&] { return asked.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
+  auto inheritance = asked.get();
+  ASSERT_TRUE(inheritance);
+  EXPECT_EQ(inheritance->state, first.state);
+  tcp::acceptor same(io, tcp::v4(), inheritance->listener.release());
+  EXPECT_EQ(same.local_endpoint(), door.local_endpoint());
+  EXPECT_FALSE(old.succeeded()) << "it has not said yet that it serves";
+  {
+    gateway::Succession next(io, path, std::move(inheritance->link), second.Handlers());
+    next.Serve();
+    ASSERT_TRUE(RunUntil(io, [&] { return first.succeeded == 1; }));
+    int pair[2];
+    ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+    Descriptor ours(pair[0]);
+    {
+      Descriptor passed(pair[1]);
+      EXPECT_TRUE(old.PassClient(passed.get(), "GET /"));
+      EXPECT_TRUE(old.PassHost("h1", Loopback(9), passed.get()));
+    }
+    ASSERT_TRUE(RunUntil(io, [&] { return second.hosts.size() == 1 && !second.others.empty(); }));
+    EXPECT_EQ(second.hosts[0], "h1@127.0.0.1:9");
+    EXPECT_EQ(second.others[0], 7u);
+    ASSERT_EQ(second.clients.size(), 1u);
+    EXPECT_EQ(second.clients[0].first, "GET /");
+    char byte = 0;
+    EXPECT_EQ(::write(ours.get(), "x", 1), 1);
+    EXPECT_EQ(::read(second.clients[0].second.get(), &byte, 1), 1);
+    old.Maintained("h1", true);
+    next.Maintained("h2", false);
+    ASSERT_TRUE(RunUntil(io, [&] { return !second.maintained.empty() && !first.maintained.empty(); }));
+    EXPECT_EQ(second.maintained[0], "-h1");
+    EXPECT_EQ(first.maintained[0], "+h2");
+  }
+  ASSERT_TRUE(RunUntil(io, [&] { return first.abandoned == 1; }));
+  EXPECT_FALSE(old.succeeded());
+  EXPECT_FALSE(old.PassClient(0, ""));
+}
+
+// Guards what the module knows against a change of version: who is out, who is cold, and what was learned.
+TEST(StateText, CarriesWhatTheModuleKnows) {
+  gateway::GatewayState state;
+  state.file = "{}";
+  state.discovery = "127.0.0.1:1";
+  state.hosts.revision = 41;
+  Server server;
+  server.id = "h0";
+  server.zone = "a";
+  server.cell = "3";
+  server.state = ServerState::kDraining;
+  server.started_at = 12.5;
+  state.hosts.hosts.push_back({server, Loopback(80)});
+  state.revision_known = true;
+  state.descriptors = 9;
+  state.learned.servers.push_back({"h0", 1.5, 2, 3, 0.25, 0.1, 7, true, true, -1e15, 99, 0.5});
+  state.learned.classes.push_back({"view", 20, 500, 3});
+  state.learned.out_by_hand = {"h0", "h7"};
+  state.learned.rate = 123;
+  const auto read = gateway::ParseState(gateway::ToText(state));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(gateway::ToText(*read), gateway::ToText(state));
+  EXPECT_EQ(read->hosts.hosts[0].server.cell, "3");
+  EXPECT_EQ(read->hosts.hosts[0].server.state, ServerState::kDraining);
+  EXPECT_TRUE(read->learned.servers[0].suspect);
+  EXPECT_EQ(read->learned.out_by_hand.size(), 2u);
+  EXPECT_FALSE(gateway::ParseState("{}"));
+  EXPECT_FALSE(gateway::ParseState(gateway::ToText(state).substr(0, 50)));
+}
+
+}  // namespace
+}  // namespace opalswitch::testing
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -958,6 +958,37 @@
   EXPECT_LT(cold, 50);
 }
 
+// Guards a change of version: the next Policy leaves out who was left out, and knows who is slow and who is
+// cold.
+TEST(Recollection, IsWhatTheNextPolicyBeginsWith) {
+  Gateway old;
+  old.List({MakeServer("cold", "0", 990), MakeServer("fast"), MakeServer("slow"), MakeServer("out")});
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "q" + std::to_string(i);
+    const std::string at = Gateway::SentTo(old.Ask(id));
+    old.now += 5;
+    if (!at.empty()) old.End(id, at, Result::kServed, at == "slow" ? 400 : 20);
+  }
+  old.Do(ServerOut{"out"});
+  Gateway next;
+  next.now = old.now;
+  next.List({MakeServer("cold"), MakeServer("fast"), MakeServer("slow"), MakeServer("out")});
+  next.Do(old.policy.recall());
+  EXPECT_FALSE(next.policy.may_use("out"));
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "n" + std::to_string(i);
+    const std::string at = Gateway::SentTo(next.Ask(id));
+    ++sent[at];
+    next.now += 20;
+    if (!at.empty()) next.End(id, at, Result::kServed, at == "slow" ? 400 : 20);
+  }
+  EXPECT_EQ(sent["out"], 0);
+  EXPECT_GT(sent["fast"], sent["cold"] + sent["slow"]);
+  next.Do(ServerBack{"out"});
+  EXPECT_TRUE(next.policy.may_use("out"));
+}
+
 // Guards requests over a change of settings: the open one keeps its class, the old name is taken for a
 // moment, and fewer attempts bind at once.
 TEST(Retune, ChangesBindNewRequestsAndLeaveOpenOnesTheirClass) {
