Stream bodies above 64 KiB both ways, bear slow heads and bodies, answer Expect

Ruled out: load (CPU 0.05 of 0.2 cores) and the module (refusals were few beside these). Module: StreamStarted ends a request's load at its host, RequestWhole starts its time, Outcome::spent forbids a second attempt.

--- a/include/opalswitch/policy.hpp
+++ b/include/opalswitch/policy.hpp
@@ -77,14 +77,22 @@
   std::string key;         // what the request is about; empty if unknown
   Millis time_left = 0;    // until the client gives this try up
   bool retry = false;      // a client's further try at what it was refused before; only where clients say so
-  std::optional<Effect> effect =
-      {};  // by which the client asked, where the protocol tells; see Policy::admits
+  bool coming = false;     // its body is still on its way: RequestWhole follows, unless it ends before
+  // By which the client asked, where the protocol tells; see Policy::admits.
+  std::optional<Effect> effect = {};
 };
 
-// The answer of a streamed class has begun; the attempt now belongs to the client.
+// The body of a request that came before it is whole: its time counts from now, and its host can begin.
+struct RequestWhole {
+  std::string request;
+  Millis time_left = 0;
+};
+
+// A long answer has begun to go to the client; the attempt now belongs to the client.
 struct StreamStarted {
   std::string request;
   int attempt = 0;
+  Millis latency = 0;  // since the Send, or since the request was whole; 0 = not told
 };
 
 enum class Result {
@@ -107,6 +115,7 @@
   bool finished = false;     // the request is over: by this outcome or before it
   Millis latency = 0;        // since the Send
   std::vector<double> load;  // the server's load report, as in Settings::report_fields; may be empty
+  bool spent = false;        // the gateway has no more of the request's body: it can't be sent again
 };
 
 // The client has left; nothing is owed for the request any more.
@@ -184,8 +193,8 @@
   int samples = 0;
 };
 
-using Event = std::variant<Request, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews, ServerOut,
-                           ServerBack, SettingsChanged, Recollection>;
+using Event = std::variant<Request, RequestWhole, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews,
+                           ServerOut, ServerBack, SettingsChanged, Recollection>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <cstring>
 #include <optional>
+#include <sstream>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -32,6 +33,8 @@
 constexpr Millis kAcceptAgain = 50;                 // after an accept that failed, out of descriptors perhaps
 constexpr Millis kMostAllowed = 600000;  // longer deadlines are cut to this: timers must not overflow
 constexpr std::size_t kMostId = 256;
+constexpr int kStreamBuffer = 256 * 1024;  // the kernel's, for an answer that a client may read slowly
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string Field(const HttpRequest& http, const char* name) {
   const auto value = http[name];
@@ -118,7 +121,9 @@
     error_code ignored;
     socket_.close(ignored);
     Release();
-    server_.Closed(shared_from_this());
+    const auto self = shared_from_this();
+    server_.Closed(self);
+    EndStreams(false);
   }
 
   // Ends what has stood still for too long.
@@ -126,10 +131,14 @@
     const ClientLimits& limits = server_.limits_;
     if (phase_ == Phase::kReading) {
       if (Begun() && begun_at_ == 0) begun_at_ = answered_ == 0 ? since_ : now;
-      if (begun_at_ > 0 && now - begun_at_ > limits.whole_request) {
-        return Refuse({http::status::request_timeout, "the request is not whole"});
-      }
+      const bool stalled = in_body_ ? now - came_on_ > limits.body_pause
+                                    : begun_at_ > 0 && now - begun_at_ > limits.whole_request;
+      if (stalled) return Refuse({http::status::request_timeout, "the request is not whole"});
       if (now - since_ > (answered_ == 0 ? limits.first_request : limits.idle) && Idle()) Close();
+    } else if (phase_ == Phase::kWaiting && ask_ && now - came_on_ > limits.body_pause) {
+      Broken({http::status::request_timeout, "the request is not whole"});
+    } else if (phase_ == Phase::kWriting && rest_) {
+      if (writing_ && now - came_on_ > limits.stream_pause) Close();
     } else if ((phase_ == Phase::kWriting && now - since_ > limits.answer_read) ||
                (phase_ == Phase::kLingering && now - since_ > limits.linger)) {
       Close();
@@ -142,7 +151,7 @@
   void Enter(Phase phase) {
     phase_ = phase;
     in_body_ = false;
-    since_ = Now();
+    since_ = came_on_ = Now();
     begun_at_ = 0;
   }
 
@@ -150,8 +159,9 @@
 
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kMostStream);
     parser_->header_limit(kMostHeader);
+    body_.clear();
     ReadMore();
   }
 
@@ -182,15 +192,42 @@
     }
     if (parser_->is_done()) return Take();
     const auto length = parser_->content_length();
-    if (!server_.Reserve(length ? *length : kMostBody, reserved_)) {
+    if (!server_.Reserve(std::min(length ? *length : kMostBody, kMostBody), reserved_)) {
       return Refuse({http::status::service_unavailable, "no memory for the body"});
     }
     in_body_ = true;
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code body_ec, std::size_t) {
-                       if (self->phase_ != Phase::kReading) return;
-                       body_ec ? self->Unreadable(body_ec) : self->Take();
-                     });
+    came_on_ = Now();
+    if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return ReadBody();
+    asio::async_write(socket_, asio::buffer(kContinue),
+                      [self = shared_from_this()](error_code ec, std::size_t) {
+                        if (self->phase_ != Phase::kReading) return;
+                        ec ? self->Close() : self->ReadBody();
+                      });
+  }
+
+  // A piece of the body into `piece_`; `then` is given the error, if it is one, and the piece.
+  template <typename Then>
+  void ReadPiece(Then then) {
+    piece_.resize(kPiece);
+    parser_->get().body() = {piece_.data(), piece_.size(), true};
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this(), turn = turn_, then](error_code ec, std::size_t) {
+                            if (self->phase_ == Phase::kClosed || self->turn_ != turn) return;
+                            if (ec == http::error::need_buffer) ec = {};
+                            self->came_on_ = Now();
+                            const std::size_t got = kPiece - self->parser_->get().body().size;
+                            then(ec, std::string_view(self->piece_.data(), got));
+                          });
+  }
+
+  // What is short is read whole; a long body comes on once its host is found.
+  void ReadBody() {
+    ReadPiece([this](error_code ec, std::string_view piece) {
+      if (phase_ != Phase::kReading) return;
+      if (ec) return Unreadable(ec);
+      body_.append(piece);
+      parser_->is_done() || body_.size() > kMostBody ? Take() : ReadBody();
+    });
   }
 
   void Unreadable(error_code ec) {
@@ -204,7 +241,10 @@
   }
 
   void Take() {
-    HttpRequest http = parser_->release();
+    HttpRequest http(std::move(parser_->get().base()));
+    http.body() = std::move(body_);
+    body_ = {};
+    piece_ = {};
     keep_alive_ = http.keep_alive();
     version_ = http.version();
     const Millis at = std::exchange(came_at_, 0);
@@ -217,13 +257,20 @@
     if (const auto fault = server_.Check(http, request)) return Refuse(*fault);
     request.http = std::move(http);
     request.received = at > 0 ? at : Now();
-    request.answer = [weak = weak_from_this(), turn = ++turn_](HttpResponse response) {
+    request.answer = [weak = weak_from_this(), turn = ++turn_](gateway::Answer answer) {
       const auto self = weak.lock();
-      if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) self->Answer(std::move(response));
+      if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting)
+        return self->Reply(std::move(answer));
+      if (!answer.rest) return;
+      answer.rest->Abandon();
+      answer.passed(false);
     };
     id_ = request.id;
     Enter(Phase::kWaiting);
-    if (buffer_.size() > 0) {
+    if (!parser_->is_done()) {
+      coming_ = std::make_shared<Coming>(*this);
+      request.rest = coming_;
+    } else if (buffer_.size() > 0) {
       came_at_ = request.received;  // with the one before it
     } else {
       WatchForLeaving();
@@ -231,6 +278,82 @@
     server_.handlers_.taken(std::move(request));
   }
 
+  // The rest of a long body, for whoever passes it on.
+  struct Coming : BodySource {
+    explicit Coming(Session& session)
+        : weak(session.weak_from_this()), io(session.server_.io_), turn(session.turn_) {
+      if (const auto whole = session.parser_->content_length()) size = *whole;
+    }
+    void Ask(Take take) override {
+      asked = true;
+      const auto session = weak.lock();
+      if (session && session->coming_.get() == this) return session->ReadOn(std::move(take));
+      asio::post(io, [take = std::move(take)] { take(Next::kBroken, {}); });
+    }
+    void Abandon() override {}
+    std::optional<std::uint64_t> length() const override { return size; }
+    bool begun() const override { return asked; }
+
+    const std::weak_ptr<Session> weak;
+    asio::io_context& io;
+    const std::uint64_t turn;
+    std::optional<std::uint64_t> size;
+    bool asked = false;
+  };
+
+  void ReadOn(BodySource::Take take) {
+    ask_ = std::move(take);
+    came_on_ = Now();
+    if (parser_->is_done()) {  // its last piece was the one before
+      asio::post(server_.io_, [self = shared_from_this()] { self->Whole(); });
+      return;
+    }
+    ReadPiece([this](error_code ec, std::string_view piece) {
+      if (!ask_) return;
+      if (ec) return Spoilt(ec);
+      if (piece.empty() && parser_->is_done()) return Whole();
+      std::exchange(ask_, nullptr)(BodySource::Next::kPiece, piece);
+    });
+  }
+
+  void Whole() {
+    if (phase_ != Phase::kWaiting || !ask_) return;
+    const auto take = std::exchange(ask_, nullptr);
+    coming_.reset();
+    if (buffer_.size() > 0) {
+      came_at_ = Now();
+    } else {
+      WatchForLeaving();
+    }
+    server_.handlers_.whole(id_);
+    take(BodySource::Next::kWhole, {});
+  }
+
+  void Spoilt(error_code ec) {
+    if (IsMalformed(ec)) {
+      const bool large = ec == http::error::body_limit;
+      return Broken({large ? http::status::payload_too_large : http::status::bad_request, ec.message()});
+    }
+    Close();
+    server_.handlers_.gone(id_);
+  }
+
+  // The request was not taken whole, and never will be: its client is told so, and nobody else answers.
+  void Broken(const Fault& fault) {
+    const std::string id = id_;
+    ++turn_;
+    Refuse(fault);
+    server_.handlers_.gone(id);
+  }
+
+  void EndStreams(bool whole) {
+    coming_.reset();
+    if (const auto take = std::exchange(ask_, nullptr)) take(BodySource::Next::kBroken, {});
+    const auto rest = std::exchange(rest_, nullptr);
+    if (rest && !whole) rest->Abandon();
+    if (const auto passed = std::exchange(passed_, nullptr)) passed(whole);
+  }
+
   // Nothing is read while a request is out: whoever sends on waits in its own socket, and takes no memory
   // here.
   void WatchForLeaving() {
@@ -255,9 +378,21 @@
     Answer(std::move(response));
   }
 
+  void Reply(gateway::Answer answer) {
+    rest_ = std::move(answer.rest);
+    passed_ = std::move(answer.passed);
+    Answer(std::move(answer.http));
+  }
+
   void Answer(HttpResponse response) {
     Enter(Phase::kWriting);
     Release();
+    // The client has more to send than anyone wants: it is read off after the answer.
+    const bool unread = coming_ != nullptr || (parser_->is_header_done() && !parser_->is_done());
+    discard_ = unread ? kMostStream : kMostDiscarded;
+    if (unread) keep_alive_ = false;
+    coming_.reset();
+    if (const auto take = std::exchange(ask_, nullptr)) take(BodySource::Next::kBroken, {});
     response_ = std::move(response);
     const bool may_stay = response_.keep_alive();
     response_.version(version_);
@@ -267,12 +402,71 @@
     const bool more = buffer_.size() > 0 || socket_.available(ec) > 0;
     keep_alive_ = keep_alive_ && may_stay && (more || !(server_.draining_ || server_.Waiting()));
     response_.keep_alive(keep_alive_);
+    if (rest_) return BeginStream();
     response_.prepare_payload();
     http::async_write(socket_, response_, [self = shared_from_this()](error_code write_ec, std::size_t) {
       if (self->phase_ == Phase::kWriting) self->Written(write_ec);
     });
   }
 
+  // A client of HTTP/1.0 knows no chunks: there the close is the end.
+  void BeginStream() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::send_buffer_size(kStreamBuffer), ignored);
+    const auto length = rest_->length();
+    chunked_ = !length && version_ >= 11;
+    if (!length && !chunked_) keep_alive_ = false;
+    const std::string first = std::exchange(response_.body(), {});
+    response_.keep_alive(keep_alive_);
+    response_.erase(http::field::content_length);
+    if (length) response_.content_length(*length);
+    if (chunked_) response_.chunked(true);
+    std::ostringstream head;
+    head << response_.base();
+    piece_ = std::move(head).str() + Framed(first, chunked_);
+    WritePiece(/*last=*/false);
+  }
+
+  void WritePiece(bool last) {
+    writing_ = true;
+    came_on_ = Now();
+    asio::async_write(
+        socket_, asio::buffer(piece_),
+        [self = shared_from_this()](error_code ec, std::size_t) {
+          self->came_on_ = Now();
+          return self->phase_ == Phase::kWriting && !ec ? kPiece : 0;
+        },
+        [self = shared_from_this(), last](error_code ec, std::size_t written) {
+          if (self->phase_ != Phase::kWriting) return;
+          self->writing_ = false;
+          if (ec || written < self->piece_.size()) return self->Close();
+          last ? self->StreamWritten() : self->AskOn();
+        });
+  }
+
+  void AskOn() {
+    rest_->Ask([self = shared_from_this(), turn = turn_](BodySource::Next next, std::string_view piece) {
+      if (self->phase_ != Phase::kWriting || self->turn_ != turn || !self->rest_) return;
+      if (next == BodySource::Next::kBroken) return self->Cut();
+      const bool last = next == BodySource::Next::kWhole;
+      self->piece_ = last ? std::string(self->chunked_ ? kLastChunk : "") : Framed(piece, self->chunked_);
+      last && self->piece_.empty() ? self->StreamWritten() : self->WritePiece(last);
+    });
+  }
+
+  void StreamWritten() {
+    EndStreams(true);
+    piece_ = {};
+    Written({});
+  }
+
+  // The client must be able to tell that the answer is not whole, whatever ends it.
+  void Cut() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   void Written(error_code ec) {
     response_ = {};
     if (ec) return Close();
@@ -306,7 +500,8 @@
       char sink[16384];
       const std::size_t got = ec ? 0 : self->socket_.read_some(asio::buffer(sink), ec);
       const bool ended = got == 0 && ec != asio::error::would_block;
-      if (ended || so_far + got > kMostDiscarded) return self->Close();
+      if (ended || so_far + got > self->discard_) return self->Close();
+      if (self->discard_ > kMostDiscarded) self->since_ = Now();  // its body is still coming
       self->Discard(so_far + got);
     });
   }
@@ -316,7 +511,14 @@
   ClientServer& server_;
   tcp::socket socket_;
   boost::beast::flat_buffer buffer_{kMostBuffer};
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<http::buffer_body>> parser_;
+  std::string body_;                  // what was read of it before its request is taken
+  std::string piece_;                 // of a body, on its way in or out
+  std::shared_ptr<Coming> coming_;    // the rest of a request's body
+  BodySource::Take ask_;              // who waits for a piece of it
+  std::shared_ptr<BodySource> rest_;  // of an answer's body
+  std::function<void(bool)> passed_;  // to be told how that ended
+  std::uint64_t discard_ = kMostDiscarded;
   HttpResponse response_;
   std::string id_;
   std::uint64_t turn_ = 0;
@@ -329,6 +531,9 @@
   unsigned version_ = 11;
   bool keep_alive_ = true;
   bool in_body_ = false;  // a body is being read
+  bool chunked_ = false;  // the answer is
+  bool writing_ = false;  // a piece of it waits for the client
+  Millis came_on_ = 0;    // when a body last came on, or a piece of an answer went out
 };
 
 ClientServer::ClientServer(asio::io_context& io, const Door& door, const ClientLimits& limits,
--- a/src/gateway/client_server.hpp
+++ b/src/gateway/client_server.hpp
@@ -13,20 +13,29 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "body_source.hpp"
 #include "http_types.hpp"
 #include "opalswitch/policy.hpp"
 
 namespace opalswitch::gateway {
 
+// What a client is told: an answer that is whole, or the beginning of one.
+struct Answer {
+  HttpResponse http;
+  std::shared_ptr<BodySource> rest;        // null: the answer is whole
+  std::function<void(bool whole)> passed;  // for one with a rest: all of it has gone to the client, or not
+};
+
 // A client's well-formed request.
 struct ClientRequest {
   HttpRequest http;
   std::string id, class_name, tenant, key;
-  Effect effect = Effect::kUnsafe;           // as which the client made it
-  bool retry = false;                        // the client's own further try
-  Millis received = 0;                       // when its last byte was read
-  Millis allowed = 0;                        // how long the client waits, from when it sent it
-  std::function<void(HttpResponse)> answer;  // to be called once; what follows is dropped
+  Effect effect = Effect::kUnsafe;     // as which the client made it
+  bool retry = false;                  // the client's own further try
+  Millis received = 0;                 // when its last byte was read
+  Millis allowed = 0;                  // how long the client waits, from when it sent it
+  std::shared_ptr<BodySource> rest;    // of a body that is not whole yet; null if it is
+  std::function<void(Answer)> answer;  // to be called once; what follows is dropped
 };
 
 struct ClientLimits {
@@ -38,6 +47,8 @@
   Millis whole_request = 2600;          // a request that was begun must be whole by then
   Millis idle = 10000;                  // a connection without a request is closed
   Millis answer_read = 3000;            // an answer must have been taken in by then
+  Millis body_pause = 2000;             // longest time without any byte of a body that is coming
+  Millis stream_pause = 10000;          // the same of a long answer that a client reads
   Millis linger = 500;                  // a client that was told of the close gets this to close first
 };
 
@@ -47,7 +58,8 @@
     std::function<bool()> ready;
     std::function<Policy::Admission(const std::string& class_name, Effect effect)> admits;
     std::function<void(ClientRequest)> taken;
-    std::function<void(const std::string& id)> gone;  // the client of an unanswered request has left
+    std::function<void(const std::string& id)> whole;  // the body that was still coming is whole
+    std::function<void(const std::string& id)> gone;   // the client of an unanswered request has left
   };
 
   // Where clients connect: an address to listen at, perhaps along with another process, or a socket that
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -133,7 +133,7 @@
           {[this] { return listed_ && !stopping_; },
            [this](const std::string& name, Effect effect) { return policy_.admits(Now(), name, effect); },
            [this](ClientRequest request) { Take(std::move(request)); },
-           [this](const std::string& id) { Left(id); }}) {
+           [this](const std::string& id) { Whole(id); }, [this](const std::string& id) { Left(id); }}) {
   figures_.Know(settings_.classes);
   if (config.admin) {
     admin_.emplace(
@@ -228,21 +228,55 @@
     HttpResponse response(http::status::conflict, 11);
     response.body() = "Req-Id is in use\n";
     response.keep_alive(false);
-    return request.answer(std::move(response));
+    return request.answer({std::move(response), nullptr, nullptr});
   }
   Flow& flow = flows_.try_emplace(request.id, io_).first->second;
   flow.http = std::make_shared<const HttpRequest>(std::move(request.http));
   flow.answer = std::move(request.answer);
   flow.class_name = request.class_name;
+  flow.rest = std::move(request.rest);
+  flow.allowed = request.allowed;
+  flow.leaves_at = request.received + request.allowed - kMargin;
+  const bool coming = flow.rest != nullptr;
+  if (!coming) Count(request.id, flow);
+  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
+                 request.retry, coming, request.effect});
+}
+
+void Gateway::Count(const std::string& id, Flow& flow) {
+  flow.counted = true;
+  flow.whole_at = Now();
   figures_.Taken();
-  const Millis gives_up = request.received + request.allowed;
-  flow.leaves_at = gives_up - kMargin;
-  flow.overdue.expires_after(Span(gives_up - kLastMargin - Now()));
-  flow.overdue.async_wait([this, id = request.id](error_code ec) {
+  flow.overdue.expires_after(Span(flow.leaves_at + kMargin - kLastMargin - Now()));
+  flow.overdue.async_wait([this, id](error_code ec) {
     if (!ec) Overdue(id);
   });
-  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
-                 request.retry, request.effect});
+}
+
+void Gateway::Whole(const std::string& id) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return;
+  flow->rest.reset();
+  flow->leaves_at = Now() + flow->allowed - kMargin;
+  Count(id, *flow);
+  Report(RequestWhole{id, flow->leaves_at - Now()});
+}
+
+void Gateway::Begun(const std::string& id, std::size_t attempt, HttpResponse response,
+                    std::shared_ptr<BodySource> rest) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return rest->Abandon();
+  flow->answered = true;
+  flow->overdue.cancel();
+  flow->http.reset();
+  StripHopByHop(response);
+  response.erase("Srv-Load");
+  const Millis latency = Now() - std::max(flow->attempts[attempt].sent, flow->whole_at);
+  const auto answer = std::exchange(flow->answer, nullptr);
+  answer({std::move(response), std::move(rest), [this, name = flow->class_name](bool whole) {
+            figures_.Ended(name, whole ? Figures::End::kAnswered : Figures::End::kErrored);
+          }});
+  Report(StreamStarted{id, static_cast<int>(attempt), latency});
 }
 
 void Gateway::Left(const std::string& id) {
@@ -278,6 +312,7 @@
 void Gateway::Ended(const std::string& id, std::size_t attempt, Result result, HttpResponse response) {
   Flow* const flow = Find(id);
   if (flow == nullptr) return;
+  flow->spent = flow->spent || (flow->rest && flow->rest->begun());
   Attempt& ended = flow->attempts[attempt];
   ended.out = false;
   const auto report = response["Srv-Load"];
@@ -286,9 +321,10 @@
                   ended.host,
                   result,
                   false,
-                  Now() - ended.sent,
-                  ParseLoad({report.data(), report.size()}, settings_.report_fields)};
-  if (result == Result::kServed) {
+                  Now() - std::max(ended.sent, std::min(flow->whole_at, Now())),
+                  ParseLoad({report.data(), report.size()}, settings_.report_fields),
+                  flow->spent};
+  if (result == Result::kServed && !flow->answered) {
     StripHopByHop(response);
     response.erase("Srv-Load");
     Answer(*flow, Figures::End::kAnswered, std::move(response));
@@ -340,12 +376,19 @@
   const std::size_t index = flow->attempts.size();
   flow->attempts.push_back({send.server, now});
   const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
-  const std::uint64_t number = hosts_.Start(
-      send.server, flow->http, until, [this, name = flow->class_name] { figures_.Sent(name); },
-      [this, id = send.request, index](Result result, HttpResponse response) {
-        Ended(id, index, result, std::move(response));
-      });
-  flow->attempts[index].number = number;
+  HostPool::Errand errand;
+  errand.request = flow->http;
+  errand.rest = flow->rest;
+  errand.deadline = until;
+  errand.written = [this, name = flow->class_name] { figures_.Sent(name); };
+  errand.begun = [this, id = send.request, index](HttpResponse response, std::shared_ptr<BodySource> rest) {
+    Begun(id, index, std::move(response), std::move(rest));
+  };
+  errand.done = [this, id = send.request, index](Result result, HttpResponse response) {
+    Ended(id, index, result, std::move(response));
+  };
+  const std::uint64_t number = hosts_.Start(send.server, std::move(errand));
+  if (Flow* const still = Find(send.request)) still->attempts[index].number = number;
 }
 
 void Gateway::Do(const Refuse& refuse) {
@@ -389,14 +432,14 @@
 void Gateway::Answer(Flow& flow, Figures::End end, HttpResponse response) {
   if (flow.answered) return;
   End(flow, end);
-  std::exchange(flow.answer, nullptr)(std::move(response));
+  std::exchange(flow.answer, nullptr)({std::move(response), nullptr, nullptr});
 }
 
 void Gateway::End(Flow& flow, Figures::End end) {
   flow.answered = true;
   flow.overdue.cancel();
   flow.http.reset();  // attempts that are still out have their own
-  figures_.Ended(flow.class_name, end);
+  figures_.Ended(flow.class_name, end, flow.counted);
 }
 
 void Gateway::Settle(const std::string& id) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -68,8 +68,13 @@
   struct Flow {
     explicit Flow(boost::asio::io_context& io) : overdue(io) {}
     std::shared_ptr<const HttpRequest> http;
-    std::function<void(HttpResponse)> answer;
+    std::shared_ptr<BodySource> rest;  // of its body, until that is whole
+    std::function<void(gateway::Answer)> answer;
     std::string class_name;
+    Millis allowed = 0;    // from when it is whole
+    Millis whole_at = 0;   // 0: it is not whole yet
+    bool counted = false;  // as taken
+    bool spent = false;    // pieces of its body are gone: it can't be sent again
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
     std::vector<Attempt> attempts;
@@ -78,6 +83,12 @@
 
   void Take(ClientRequest request);
   void Left(const std::string& id);
+  // The request has come whole: from now on its time counts.
+  void Whole(const std::string& id);
+  void Count(const std::string& id, Flow& flow);
+  // An attempt has a long answer, which goes to the client as it comes.
+  void Begun(const std::string& id, std::size_t attempt, HttpResponse response,
+             std::shared_ptr<BodySource> rest);
   bool Maintain(const std::string& host, bool out);
   // The same without telling the other process.
   void Maintained(const std::string& host, bool out);
--- a/src/gateway/host_pool.cpp
+++ b/src/gateway/host_pool.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
+#include <limits>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -25,10 +26,12 @@
 
 constexpr double kIdleShare = 1.0 / 3;  // part of the hosts' idle limit after which a connection is closed
 constexpr int kMostInterim = 8;         // 1xx answers ahead of the final one
+constexpr Millis kStreamPause = 10000;  // longest time without any byte, of a body that is passed on
 constexpr std::size_t kMostBuffer = 32768;  // holds a whole head; bodies pass through it
 
 // Only 503 and 504 with Srv-Declined prove that a request never ran.
-Result ToResult(const HttpResponse& response) {
+template <typename Head>
+Result ToResult(const Head& response) {
   const http::status status = response.result();
   if (status == http::status::ok) return Result::kServed;
   const bool declines =
@@ -36,15 +39,22 @@
   return declines && response["Srv-Declined"] == "1" ? Result::kRejected : Result::kError;
 }
 
-std::string Serialize(const HttpRequest& request, std::int64_t left) {
+std::string Serialize(const HttpRequest& request, const BodySource* rest, std::int64_t left) {
   HttpRequest outgoing = request;
   StripHopByHop(outgoing);
   outgoing.version(11);
   outgoing.keep_alive(true);
-  outgoing.prepare_payload();
+  if (rest == nullptr) {
+    outgoing.prepare_payload();
+  } else if (rest->length()) {
+    outgoing.content_length(*rest->length());
+  } else {
+    outgoing.chunked(true);
+    outgoing.body() = Framed(request.body(), true);
+  }
   outgoing.set("Req-Deadline", std::to_string(std::max<std::int64_t>(1, left)) + "m");
   std::ostringstream text;
-  text << outgoing;
+  text << outgoing.base() << outgoing.body();
   return std::move(text).str();
 }
 
@@ -54,12 +64,9 @@
 // close or bytes that no request asked for, ends the connection.
 class HostPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  struct Job {
-    std::uint64_t attempt;
-    std::shared_ptr<const HttpRequest> request;
-    Millis deadline;
-    std::function<void()> written;
-    Done done;
+  struct Job : Errand {
+    std::uint64_t attempt = 0;
+    Millis patience = 0;  // from when the request is whole, where its body is still coming
   };
 
   Connection(HostPool& pool, std::string host, tcp::endpoint address)
@@ -116,6 +123,7 @@
   // Ends the job, if there is one, and the connection with it.
   void End(Result result) {
     Close();
+    EndStream(BodySource::Next::kBroken);
     Finish(result, {});
   }
 
@@ -127,7 +135,7 @@
     timer_.cancel();
   }
 
-  void Rest() {
+  void Idle() {
     if (pool_.pass_ && Pass()) return Close();
     parser_.reset();
     outgoing_ = {};
@@ -146,6 +154,8 @@
   void Take(Job job) {
     job_ = std::move(job);
     outgoing_.clear();
+    body_.clear();
+    whole_ = !job_->rest;
     written_ = 0;
     interim_ = 0;
     ++turn_;  // the wait of an idle connection means nothing any more
@@ -167,7 +177,7 @@
     });
   }
 
-  bool WrittenWhole() const { return !outgoing_.empty() && written_ == outgoing_.size(); }
+  bool WrittenWhole() const { return whole_ && !outgoing_.empty() && written_ == outgoing_.size(); }
 
   void TimeUp() {
     if (Now() < due_ - 1) return;  // set anew when this wait was already due
@@ -175,6 +185,7 @@
       pool_.Forget(host_, this);
       return Close();
     }
+    if (stream_) return End(Result::kReset);
     End(WrittenWhole() ? Result::kTimedOut : Result::kConnectFailed);
   }
 
@@ -187,7 +198,9 @@
   }
 
   void Write() {
-    outgoing_ = Serialize(*job_->request, static_cast<std::int64_t>(job_->deadline - Now()));
+    const Millis left = job_->rest ? job_->patience : job_->deadline - Now();
+    outgoing_ = Serialize(*job_->request, job_->rest.get(), static_cast<std::int64_t>(left));
+    chunked_ = job_->rest && !job_->rest->length();
     job_->request.reset();
     error_code ec;
     socket_.non_blocking(true, ec);
@@ -204,17 +217,38 @@
     }
     if (ec && ec != asio::error::would_block) return End(Result::kConnectFailed);  // its last byte never left
     if (WrittenWhole()) {
-      if (job_->written) job_->written();
+      if (job_->rest) Arm(job_->deadline = Now() + job_->patience);
+      job_->rest.reset();
+      job_->written();
       return ReadHead();
     }
+    if (written_ == outgoing_.size()) return AskOn();
+    if (job_->rest) Arm(Now() + kStreamPause);  // a host that takes nothing for so long is of no use
     socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this(), turn = turn_](error_code) {
       if (self->open_ && self->turn_ == turn) self->WriteMore();
     });
   }
 
+  // The next piece of a body that is still coming. Its client may take its time; if it stalls, its side says
+  // so.
+  void AskOn() {
+    timer_.cancel();
+    due_ = std::numeric_limits<Millis>::infinity();
+    job_->rest->Ask([self = shared_from_this(), turn = turn_](BodySource::Next next, std::string_view piece) {
+      if (!self->open_ || self->turn_ != turn || !self->job_) return;
+      if (next == BodySource::Next::kBroken)
+        return self->End(Result::kConnectFailed);  // never whole: never ran
+      self->whole_ = next == BodySource::Next::kWhole;
+      if (self->whole_ && !self->chunked_) return self->WriteMore();  // nothing is left to write
+      self->outgoing_ = self->whole_ ? std::string(kLastChunk) : Framed(piece, self->chunked_);
+      self->written_ = 0;
+      self->WriteMore();
+    });
+  }
+
   void ReadHead() {
     parser_.emplace();
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kMostStream);
     parser_->header_limit(kMostHeader);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code ec, std::size_t) {
@@ -233,26 +267,125 @@
       return ReadHead();
     }
     const auto length = parser_->content_length();
-    if (FramingOf(head) != Framing::kDelimited || (length && *length > kMostBody)) return End(Result::kReset);
-    if (parser_->is_done()) return Received({});
-    http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code ec, std::size_t) {
-      if (self->open_) self->Received(ec);
+    if (FramingOf(head) != Framing::kDelimited || (length && *length > kMostStream)) {
+      return End(Result::kReset);
+    }
+    if (parser_->is_done()) return Received();
+    ReadBody();
+  }
+
+  // A piece of the body into `piece_`; `then` is given the error, if it is one, and the piece.
+  template <typename Then>
+  void ReadPiece(Then then) {
+    piece_.resize(kPiece);
+    parser_->get().body() = {piece_.data(), piece_.size(), true};
+    http::async_read_some(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this(), turn = turn_, then](error_code ec, std::size_t) {
+          if (!self->open_ || self->turn_ != turn) return;
+          if (ec == http::error::need_buffer) ec = {};
+          then(ec, std::string_view(self->piece_.data(), kPiece - self->parser_->get().body().size));
+        });
+  }
+
+  // A short answer is judged once it is whole; a long one is passed on from its first piece.
+  void ReadBody() {
+    ReadPiece([this](error_code ec, std::string_view piece) {
+      if (ec) return End(Result::kReset);
+      body_.append(piece);
+      if (parser_->is_done() && body_.size() <= kMostBody) return Received();
+      if (body_.size() <= kMostBody && parser_->content_length().value_or(0) <= kMostBody) return ReadBody();
+      const Result result = ToResult(parser_->get());
+      if (result != Result::kServed) return End(result);  // nobody wants the rest of it
+      BeginStream();
     });
   }
 
-  void Received(error_code ec) {
-    // Seen with Boost 1.74: an answer one byte over the parser's own limit got through.
-    if (ec || parser_->get().body().size() > kMostBody) return End(Result::kReset);
-    HttpResponse response = parser_->release();
-    const bool reusable = response.keep_alive() && Fresh() && pool_.MayUse(host_, address_);
-    // Back to the pool before the outcome is told, for it may lead to the next send.
+  // The rest of a long answer, for whoever passes it on. It outlives the connection's part in it.
+  struct Rest : BodySource {
+    Rest(Connection& from, std::optional<std::uint64_t> size)
+        : connection(from.weak_from_this()), io(from.pool_.io_), total(size) {}
+    void Ask(Take take) override {
+      asked = true;
+      const auto from = connection.lock();
+      if (!end && from) return from->ReadOn(std::move(take));
+      asio::post(io, [next = end.value_or(Next::kBroken), take = std::move(take)] { take(next, {}); });
+    }
+    void Abandon() override {
+      const auto from = connection.lock();
+      if (!end && from) from->End(Result::kCancelled);
+    }
+    std::optional<std::uint64_t> length() const override { return total; }
+    bool begun() const override { return asked; }
+
+    const std::weak_ptr<Connection> connection;
+    asio::io_context& io;
+    const std::optional<std::uint64_t> total;
+    std::optional<Next> end;  // once the connection has no more part in it
+    bool asked = false;
+  };
+
+  void BeginStream() {
+    std::optional<std::uint64_t> length;
+    if (const auto told = parser_->content_length()) length = *told;
+    stream_ = std::make_shared<Rest>(*this, length);
+    HttpResponse response(std::move(parser_->get().base()));
+    reusable_ = response.keep_alive();
+    response.body() = std::exchange(body_, {});
+    timer_.cancel();
+    due_ = std::numeric_limits<Millis>::infinity();
+    const auto self = shared_from_this();  // who is told may abandon it
+    const auto stream = stream_;
+    job_->begun(std::move(response), stream);
+    if (open_ && stream_ && parser_->is_done()) Streamed();
+  }
+
+  void ReadOn(BodySource::Take take) {
+    ask_ = std::move(take);
+    Arm(Now() + kStreamPause);
+    ReadPiece([this](error_code ec, std::string_view piece) {
+      if (!ask_) return;
+      if (ec) return End(Result::kReset);
+      timer_.cancel();  // the client may take its time now
+      due_ = std::numeric_limits<Millis>::infinity();
+      const auto take = std::exchange(ask_, nullptr);
+      const std::string text(piece);  // the connection may go on to other work
+      if (parser_->is_done()) Streamed();
+      if (!text.empty()) return take(BodySource::Next::kPiece, text);
+      stream_ ? ReadOn(take) : take(BodySource::Next::kWhole, {});
+    });
+  }
+
+  void EndStream(BodySource::Next end) {
+    if (stream_) stream_->end = end;
+    stream_.reset();
+    if (const auto take = std::exchange(ask_, nullptr)) take(end, {});
+  }
+
+  // All of a long answer has been read.
+  void Streamed() {
+    EndStream(BodySource::Next::kWhole);
+    Release(reusable_);
+    Finish(Result::kServed, {});
+  }
+
+  void Received() {
+    HttpResponse response(std::move(parser_->get().base()));
+    response.body() = std::exchange(body_, {});
+    Release(response.keep_alive());
+    const Result result = ToResult(response);
+    Finish(result, std::move(response));
+  }
+
+  // Back to the pool before the outcome is told, for it may lead to the next send.
+  void Release(bool keep_alive) {
+    const bool reusable = keep_alive && Fresh() && pool_.MayUse(host_, address_);
+    piece_ = {};
     if (reusable) {
-      Rest();
+      Idle();
     } else {
       Close();
     }
-    const Result result = ToResult(response);
-    Finish(result, std::move(response));
   }
 
   HostPool& pool_;
@@ -263,8 +396,15 @@
   Millis due_ = 0;
   Millis rested_at_ = 0;
   boost::beast::flat_buffer buffer_{kMostBuffer};
-  std::optional<http::response_parser<http::string_body>> parser_;
-  std::string outgoing_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::string body_;              // of a short answer, or the first of a long one
+  std::string piece_;             // of an answer, as it is read
+  std::shared_ptr<Rest> stream_;  // the long answer that is being passed on
+  BodySource::Take ask_;          // who waits for a piece of it
+  bool reusable_ = false;         // after it
+  std::string outgoing_;          // of the request: all of it, or the latest piece
+  bool whole_ = true;             // no more pieces follow
+  bool chunked_ = false;
   std::size_t written_ = 0;  // bytes of it that the kernel has taken
   int interim_ = 0;
   std::uint64_t turn_ = 0;
@@ -300,15 +440,15 @@
   std::erase_if(hosts_, [](const auto& entry) { return !entry.second.up; });
 }
 
-std::uint64_t HostPool::Start(const std::string& host, std::shared_ptr<const HttpRequest> request,
-                              Millis deadline, std::function<void()> written, Done done) {
+std::uint64_t HostPool::Start(const std::string& host, Errand errand) {
   const std::uint64_t attempt = next_attempt_++;
   const auto found = hosts_.find(host);
-  if (found == hosts_.end() || Now() >= deadline) {
-    done(Result::kNotSent, {});
+  if (found == hosts_.end() || Now() >= errand.deadline) {
+    errand.done(Result::kNotSent, {});
     return attempt;
   }
-  Connection::Job job{attempt, std::move(request), deadline, std::move(written), std::move(done)};
+  const Millis patience = errand.deadline - Now();
+  Connection::Job job{std::move(errand), attempt, patience};
   auto& idle = found->second.idle;
   while (!idle.empty()) {
     const auto connection = std::move(idle.back());
@@ -358,7 +498,7 @@
   }
   const auto connection = std::make_shared<Connection>(*this, host, address);
   if (connection->Assign(fd)) {
-    connection->Rest();
+    connection->Idle();
   } else {
     connection->Close();
   }
--- a/src/gateway/host_pool.hpp
+++ b/src/gateway/host_pool.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "body_source.hpp"
 #include "discovery.hpp"
 #include "http_types.hpp"
 #include "opalswitch/policy.hpp"
@@ -43,10 +44,19 @@
   // Hosts' time-outs as the settings have them now.
   void SetTimes(Millis dial_timeout, Millis idle_timeout);
 
-  // Sends the request unless the host is not to be used any more; `written` is called once it is written
-  // whole. Returns a number for Cancel.
-  std::uint64_t Start(const std::string& host, std::shared_ptr<const HttpRequest> request, Millis deadline,
-                      std::function<void()> written, Done done);
+  // What is sent, and who is told of its course.
+  struct Errand {
+    std::shared_ptr<const HttpRequest> request;
+    std::shared_ptr<BodySource> rest;       // of its body, where that is still coming
+    Millis deadline = 0;                    // of the whole attempt; with a rest, as long after that is whole
+    std::function<void()> written = [] {};  // it was written whole
+    // Its answer is a long one: the head with the first piece of the body, and the rest. `done` still
+    // follows.
+    std::function<void(HttpResponse, std::shared_ptr<BodySource>)> begun;
+    Done done;
+  };
+  // Sends the request unless the host is not to be used any more. Returns a number for Cancel.
+  std::uint64_t Start(const std::string& host, Errand errand);
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -547,6 +547,7 @@
     flow.id = r.id;
     flow.cls = static_cast<int>(tier - classes_.data());
     flow.most_attempts = set_.max_attempts;
+    flow.coming = r.coming;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
     arriving_ += 1 / kLongMemory;
@@ -644,10 +645,10 @@
     tokens_ -= 1;
     spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
     if (Warmth(b) < 1) b.cold_credit -= 1;
-    ++b.in_flight;
+    b.in_flight += !flow.coming;  // what is still coming is no work yet
     ++out_now_;
     ++b.refs;
-    flow.attempts.push_back({&b, now_});
+    flow.attempts.push_back({&b, now_, true, true, !flow.coming});
     Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
   }
 
@@ -662,33 +663,36 @@
     attempt.may_have_run =
         o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
     Backend& b = *attempt.server;
-    --b.in_flight;
+    b.in_flight -= std::exchange(attempt.loads, false);
     --out_now_;
-    if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
-    if (o.result != Result::kCancelled && o.result != Result::kNotSent) {  // these tell nothing of the server
-      MoveRate(b, flow, o);  // first: by whether the server was held ready until now
-      Hear(b, o.load);
-      Judge(b, flow, o);
-    }
+    if (!attempt.streams) LearnFrom(b, flow, o);
     if (o.finished || o.result == Result::kServed) flow.answered = true;
-    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o.result);
+    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o);
     Settle(flow);
   }
 
+  void LearnFrom(Backend& b, const Flow& flow, const Outcome& o) {
+    if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
+    if (o.result == Result::kCancelled || o.result == Result::kNotSent) return;  // nothing of the server
+    MoveRate(b, flow, o);  // first: by whether the server was held ready until now
+    Hear(b, o.load);
+    Judge(b, flow, o);
+  }
+
   void LearnClass(Tier& c, Millis latency) {
     c.latency += std::max(kSlow, 1.0 / ++c.samples) * (latency - c.latency);
     mean_latency_ += std::max(kSlow, 1.0 / ++samples_) * (latency - mean_latency_);
   }
 
   // Another attempt only where it is legal, can still be in time, and the server was to blame.
-  void TryAgain(Flow& flow, Result result) {
+  void TryAgain(Flow& flow, const Outcome& o) {
     const ClassSettings& c = classes_[flow.cls].set;
     const bool legal = flow.NeverRan() || c.effect != Effect::kUnsafe;
-    const bool heavy = result == Result::kTimedOut && !flow.attempts.back().server->suspect;
+    const bool heavy = o.result == Result::kTimedOut && !flow.attempts.back().server->suspect;
     const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
     const bool more =
         static_cast<int>(flow.attempts.size()) < std::min(flow.most_attempts, set_.max_attempts);
-    if (!legal || heavy || !in_time || !more || retry_budget_ < 1) return Answer(flow);
+    if (!legal || o.spent || heavy || !in_time || !more || retry_budget_ < 1) return Answer(flow);
     retry_budget_ -= 1;
     Hold(flow, classes_[flow.cls].retries);
   }
@@ -730,8 +734,30 @@
     Settle(flow);
   }
 
-  void On(const StreamStarted& s) {  // the client owns it now; its outcome is still awaited
-    if (Flow* const flow = Find(s.request)) flow->answered = true;
+  // The client owns it now; its outcome is still awaited. The server has done its work when an answer begins:
+  // how long the client takes to read it says nothing of the server.
+  void On(const StreamStarted& s) {
+    Flow* const flow = Find(s.request);
+    if (flow == nullptr) return;
+    flow->answered = true;
+    if (s.attempt < 0 || s.attempt >= static_cast<int>(flow->attempts.size()) || !(s.latency > 0)) return;
+    Attempt& attempt = flow->attempts[s.attempt];
+    if (!attempt.out || std::exchange(attempt.streams, true)) return;
+    attempt.server->in_flight -= std::exchange(attempt.loads, false);
+    Outcome begun;  // served, as far as the server goes
+    begun.latency = s.latency;
+    LearnFrom(*attempt.server, *flow, begun);
+  }
+
+  void On(const RequestWhole& whole) {
+    Flow* const flow = Find(whole.request);
+    if (flow == nullptr || !std::exchange(flow->coming, false)) return;
+    flow->arrived = now_;
+    flow->leaves_at = now_ + (std::isfinite(whole.time_left) ? std::max(0.0, whole.time_left) : 0.0);
+    flow->aim_at = std::min(now_ + classes_[flow->cls].set.aim, flow->leaves_at);
+    for (Attempt& a : flow->attempts) {
+      if (a.out && !std::exchange(a.loads, true)) ++a.server->in_flight;
+    }
   }
 
   void On(const TimerDue&) { Sweep(); }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -79,6 +79,8 @@
   Millis sent;
   bool out = true;
   bool may_have_run = true;
+  bool loads = true;     // counts as in flight at its server, whose work has begun and not ended
+  bool streams = false;  // its answer goes to the client already
 };
 
 // A request that the gateway has taken, until it is answered and all its attempts have ended.
@@ -90,6 +92,7 @@
   bool in_share = true;
   bool answered = false;
   bool queued = false;
+  bool coming = false;  // its body is not whole yet
   int most_attempts = 1;
   std::vector<Attempt> attempts;
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -307,8 +307,9 @@
     }
     Deliver(news);
   } else if (word == "FLOWING") {
-    Deliver(
-        StreamStarted{std::string(Need(parts, 1, "ticket")), Number<int>(Need(parts, 3, "trial"), "trial")});
+    Deliver(StreamStarted{std::string(Need(parts, 1, "ticket")),
+                          Number<int>(Need(parts, 3, "trial"), "trial"),
+                          NumberOr(parts, 4, "costTimeMs", 0.0)});
   } else if (word == "ECHO") {
     ToResult(Need(parts, 2, "rc"));  // the module never probes: checked and dropped
     NumberOr(parts, 3, "costTimeMs", 0.0);
