--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -485,9 +485,8 @@
   // that goes on sending for long is not worth the reading.
   void Linger() {
     Enter(Phase::kLingering);
-    parser_.reset();
-    buffer_ = boost::beast::flat_buffer();
     error_code ec;
+    socket_.cancel(ec);  // a read that is under way still has the parser and the buffer, which stay until the end
     socket_.shutdown(tcp::socket::shutdown_send, ec);
     if (!ec) socket_.non_blocking(true, ec);
     if (ec) return Close();
