Adopt a connection with nothing read without a null copy; bound attempts by memory

Found by the undefined-behaviour sanitizer: a passed connection with nothing unread copied from null, which ended the new process there. Attempts out are bounded by memory too, with those of the other process. A process to follow is found by an address in the file as well as by the variables.

--- a/src/gateway/client_server.cpp
+++ b/src/gateway/client_server.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <cmath>
-#include <cstring>
 #include <optional>
 #include <sstream>
 #include <string_view>
@@ -82,8 +81,7 @@
   void Adopted(std::string_view unread) {
     answered_ = 1;
     const auto room = buffer_.prepare(unread.size());
-    std::memcpy(room.data(), unread.data(), unread.size());
-    buffer_.commit(unread.size());
+    buffer_.commit(asio::buffer_copy(room, asio::buffer(unread.data(), unread.size())));
     Begin();
   }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -30,6 +30,7 @@
 constexpr double kUsualShare = 0.3;  // of all descriptors: clients hold a third of them at the most
 constexpr double kBodyShare = 0.15;  // of the memory: bodies are held twice while they are passed on
 constexpr std::size_t kOwnSockets = 16;  // that a process holds beside those of clients and hosts, about
+constexpr double kAttemptsPerMb = 6;     // of memory; one that streams both ways holds about 100 KiB
 constexpr double kMostLoad = 1e6;        // no host can report more of anything
 
 // Descriptors that may be used for clients and hosts, by the configuration and by the system.
@@ -46,8 +47,9 @@
 }
 
 std::size_t HostSockets(const Config& config, std::size_t others = 0) {
-  return std::max<std::size_t>(
-      1, static_cast<std::size_t>(static_cast<double>(Usable(config, others)) * kHostShare));
+  const double by_descriptors = static_cast<double>(Usable(config, others)) * kHostShare;
+  const double by_memory = config.memory_mb * kAttemptsPerMb - static_cast<double>(others);
+  return static_cast<std::size_t>(std::max(1.0, std::min(by_descriptors, by_memory)));
 }
 
 // The module is told how many attempts there are descriptors for.
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -47,6 +47,11 @@
 }
 
 std::string FindPredecessor() {
+  try {
+    return gw::LoadConfig(Variable).handover;
+  } catch (const gw::ConfigError&) {
+    // Told again below, unless there is a process to follow: the variables may be enough to find it.
+  }
   const char* const folder = Variable("TMPDIR");
   const char* const listen = Variable("NODE_LISTEN");
   if (folder == nullptr || listen == nullptr || Variable("NODE_ADMIN") == nullptr) return "";
