--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -453,6 +453,17 @@
   }
 }
 
+// SIGKILL comes 700 ms after the longest deadline, which counts as 3 s where it is longer.
+void Gateway::Stop(std::function<void()> done) {
+  Millis longest = 0;
+  for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
+  const Millis sooner = 3000 - std::min(3000.0, longest);
+  StopTimes times;
+  times.answer = std::max(times.accept, times.answer - sooner);
+  times.serve = std::max(times.accept, times.serve - sooner);
+  Stop(std::move(done), times);
+}
+
 void Gateway::Stop(std::function<void()> done, StopTimes times) {
   if (std::exchange(stopping_, true)) return;
   const auto after = [this](Millis wait, auto next) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -55,7 +55,8 @@
   };
   // Takes, serves and answers as `times` say, then calls `done`.
   void Stop(std::function<void()> done, StopTimes times);
-  void Stop(std::function<void()> done) { Stop(std::move(done), StopTimes()); }
+  // The same in the times that the longest deadline leaves.
+  void Stop(std::function<void()> done);
 
  private:
   struct Attempt {
