--- a/examples/consumer/main.cpp
+++ b/examples/consumer/main.cpp
@@ -1,9 +1,9 @@
 // One request from its arrival to its answer, through the public header alone.
 #include <iostream>
-#include <opalswitch/policy.hpp>
+#include <meadowyard/policy.hpp>
 
 int main() {
-  using namespace opalswitch;
+  using namespace meadowyard;
   Settings settings;
   ClassSettings page;
   page.name = "page";
--- a/include/opalswitch/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -1,4 +1,4 @@
-// opalswitch: the decisions of one gateway that spreads requests over HTTP servers.
+// meadowyard: the decisions of one gateway that spreads requests over HTTP servers.
 //
 // A Policy is a state machine without I/O. The gateway reports what happens as Events and carries
 // out, in order, the Actions that it gets back. A Policy reads no clock, opens nothing and starts
@@ -6,8 +6,8 @@
 // one gateway and is called from one thread at a time; several Policies share nothing.
 //
 // Times are milliseconds on the gateway's own monotonic clock, from any origin. Ids are opaque.
-#ifndef OPALSWITCH_POLICY_HPP_
-#define OPALSWITCH_POLICY_HPP_
+#ifndef MEADOWYARD_POLICY_HPP_
+#define MEADOWYARD_POLICY_HPP_
 
 #include <cstdint>
 #include <memory>
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace opalswitch {
+namespace meadowyard {
 
 using Millis = double;
 
@@ -262,6 +262,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace opalswitch
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_POLICY_HPP_
+#endif  // MEADOWYARD_POLICY_HPP_
--- /dev/null
+++ b/src/app/serve.cpp
@@ -0,0 +1,94 @@
+#include "app/serve.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "app/service.hpp"
+#include "config/config.hpp"
+#include "log/log.hpp"
+#include "operations/handover.hpp"
+#include "operations/live_settings.hpp"
+#include "operations/state_text.hpp"
+
+namespace meadowyard {
+namespace {
+
+const char* Variable(const char* name) { return std::getenv(name); }
+
+// The environment still tells where discovery was at the start: a changed file knows better.
+const char* VariableAtReload(const char* name) {
+  return std::strcmp(name, "NODE_DISCOVERY") == 0 ? nullptr : Variable(name);
+}
+
+// A file that was turned down is still there for the next version to find: it goes on with the one in force.
+Config Configure(const std::optional<GatewayState>& state) {
+  if (!state) return LoadConfig(Variable);
+  try {
+    Config config = LoadConfig(Variable);
+    // The environment is that of the first start; the process before this one has followed the file since.
+    if (config.file->value("discovery", "") == state->discovery) {
+      config.discovery = ParseEndpoint(state->discovery).value_or(config.discovery);
+    }
+    return config;
+  } catch (const ConfigError& error) {
+    LogEvent(LogLevel::kWarn, "configuration_kept",
+             {{"text", "going on with the configuration in force"}, {"why", error.what()}});
+    return ParseConfig(nlohmann::json::parse(state->file), Variable);
+  }
+}
+
+std::string FindPredecessor() {
+  try {
+    return LoadConfig(Variable).handover;
+  } catch (const ConfigError&) {
+    // Told again below, unless there is a process to follow: the variables may be enough to find it.
+  }
+  const char* const folder = Variable("TMPDIR");
+  const char* const listen = Variable("NODE_LISTEN");
+  if (folder == nullptr || listen == nullptr || Variable("NODE_ADMIN") == nullptr) return "";
+  return HandoverPath(folder, listen);
+}
+
+}  // namespace
+
+void Serve() {
+  boost::asio::io_context io(1);
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
+  auto inheritance = AskPredecessor(FindPredecessor());
+  const auto state = inheritance ? ParseState(inheritance->state) : std::nullopt;
+  if (!state) inheritance.reset();
+  const Config config = Configure(state);
+  Service service(io, config, std::move(inheritance), state);
+  LiveSettings settings(VariableAtReload, config,
+                        {[&](const Config& changed) {
+                           service.Reload(changed);
+                           LogEvent(LogLevel::kDebug, "configuration_loaded");
+                         },
+                         [&](const std::string& why) {
+                           LogEvent(LogLevel::kWarn, "configuration_kept",
+                                    {{"text", "configuration not reloaded"}, {"why", why}});
+                           service.KeptSettings();
+                         }});
+  ends.async_wait([&](const boost::system::error_code& ec, int) {
+    if (!ec) service.Stop([&] { io.stop(); });
+  });
+  std::function<void()> await_reload = [&] {
+    reloads.async_wait([&](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      settings.Reload();
+      await_reload();
+    });
+  };
+  await_reload();
+  io.run();
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/app/serve.hpp
@@ -0,0 +1,13 @@
+// `meadowyard serve`: one gateway on real sockets, in the foreground until SIGTERM.
+#ifndef MEADOWYARD_APP_SERVE_HPP_
+#define MEADOWYARD_APP_SERVE_HPP_
+
+namespace meadowyard {
+
+// Runs until SIGTERM or SIGINT; SIGHUP has it read its configuration again. Throws std::exception, with a
+// text that names what is wrong, if it can't start.
+void Serve();
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_APP_SERVE_HPP_
--- /dev/null
+++ b/src/app/service.cpp
@@ -0,0 +1,218 @@
+#include "app/service.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/clock.hpp"
+#include "log/log.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr Millis kFlush = 200;     // for the last answers to leave
+constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
+
+Means MeansOf(const Config& config) { return {config.sockets, config.memory_mb, config.admin.has_value()}; }
+
+// The module is told how many attempts there are descriptors for.
+Settings Fitted(Settings settings, const Budget& budget) {
+  settings.most_out = static_cast<int>(budget.host_connections);
+  return settings;
+}
+
+ClientLimits LimitsFor(const Budget& budget) {
+  ClientLimits limits;
+  limits.sessions = budget.client_sessions;
+  limits.usual = budget.usual_sessions;
+  limits.body_bytes = budget.body_bytes;
+  return limits;
+}
+
+ServerNews ToNews(const HostList& list) {
+  ServerNews news;
+  news.kind = list.complete ? ServerNews::Kind::kFull : ServerNews::Kind::kDelta;
+  for (const Host& host : list.hosts) news.servers.push_back(host.server);
+  return news;
+}
+
+}  // namespace
+
+Service::Service(asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
+                 std::optional<GatewayState> state)
+    : config_(config),
+      file_(config.file),
+      settings_(config.settings),
+      others_(state ? state->descriptors : 0),
+      budget_(ShareOut(MeansOf(config), others_)),
+      hosts_(io, {config.dial_timeout, config.idle_timeout, budget_.host_connections},
+             {[this](const std::string& host) { return core_.policy().may_use(host); }}),
+      core_(io, Fitted(settings_, budget_), config.seed, hosts_,
+            {[this] { discovery_.Watch(); },
+             [](const std::string& text) {
+               LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
+             }}),
+      discovery_(io, config.discovery,
+                 !state                  ? std::optional(config.known.revision)
+                 : state->revision_known ? std::optional(state->hosts.revision)
+                                         : std::nullopt,
+                 {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
+      stop_(io),
+      ask_again_(io),
+      clients_(io,
+               {config.listen, config.admin.has_value(), inheritance ? inheritance->listener.release() : -1},
+               LimitsFor(budget_),
+               {[this] { return listed_ && !stopping_; },
+                [this](const std::string& name, Effect effect) { return core_.Admits(name, effect); },
+                [this](ClientRequest request) { core_.Take(std::move(request)); },
+                [this](const std::string& id) { core_.Whole(id); },
+                [this](const std::string& id) { core_.Left(id); }}) {
+  if (config.admin) {
+    admin_.emplace(
+        io, *config.admin, AdminServer::Limits(),
+        AdminServer::Handlers{[this] { return listed_ && !stopping_; },
+                              [this] { return core_.figures().ToJson(core_.policy().census()); },
+                              [this](const std::string& host, bool out) { return Maintain(host, out); }});
+    succession_.emplace(io, config.handover, inheritance ? std::move(inheritance->link) : Descriptor(),
+                        SuccessionHandlers());
+  }
+  Told(state ? state->hosts : config.known);
+  if (state) core_.Report(std::move(state->learned));
+  if (!settings_.ask_for_list) discovery_.Watch();
+}
+
+Succession::Handlers Service::SuccessionHandlers() {
+  return {
+      [this] { return StateText(); },
+      [this] { return clients_.listener(); },
+      [this] { return clients_.sessions() + hosts_.connections() + kOwnSockets; },
+      [this] { HandOver(); },
+      [this] { TakeBack(); },
+      [this](std::size_t others) { Share(others); },
+      [this](std::string_view unread, Descriptor socket) { clients_.Adopt(socket.release(), unread); },
+      [this](const std::string& host, const asio::ip::tcp::endpoint& address, Descriptor socket) {
+        hosts_.Adopt(host, address, socket.release());
+      },
+      [this](const std::string& host, bool out) { Maintained(host, out); },
+  };
+}
+
+std::string Service::StateText() {
+  GatewayState state;
+  state.file = file_->dump();
+  state.discovery = ToText(discovery_.address());
+  state.revision_known = discovery_.revision().has_value();
+  state.hosts.revision = discovery_.revision().value_or(0);
+  for (const auto& [id, host] : list_) state.hosts.hosts.push_back(host);
+  state.learned = core_.policy().recall();
+  state.descriptors = clients_.sessions() + hosts_.connections() + kOwnSockets;
+  return ToText(state);
+}
+
+void Service::HandOver() {
+  clients_.HandOver(
+      [this](int socket, std::string_view unread) { return succession_->PassClient(socket, unread); });
+  hosts_.PassIdle([this](const std::string& host, const asio::ip::tcp::endpoint& address, int socket) {
+    return succession_->PassHost(host, address, socket);
+  });
+}
+
+void Service::TakeBack() {
+  hosts_.PassIdle(nullptr);
+  clients_.TakeBack();
+}
+
+void Service::Share(std::size_t others) {
+  if (others == std::exchange(others_, others)) return;
+  budget_ = ShareOut(MeansOf(config_), others_);
+  clients_.SetPlaces(budget_.client_sessions, budget_.usual_sessions);
+  hosts_.SetMost(budget_.host_connections);
+  core_.Configure(Fitted(settings_, budget_));
+}
+
+void Service::Reload(const Config& config) {
+  file_ = config.file;
+  settings_ = config.settings;
+  hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
+  core_.figures().Configured(true);
+  core_.Configure(Fitted(settings_, budget_));
+  discovery_.Move(config.discovery);
+}
+
+bool Service::Maintain(const std::string& host, bool out) {
+  if (!core_.policy().knows(host)) return false;
+  Maintained(host, out);
+  succession_->Maintained(host, out);
+  return true;
+}
+
+void Service::Maintained(const std::string& host, bool out) {
+  if (!out) return core_.Report(ServerBack{host});
+  core_.Report(ServerOut{host});
+  hosts_.Rest(host);
+}
+
+void Service::Told(const HostList& list) {
+  hosts_.Update(list);  // first: nothing may be sent by the old list any more
+  if (list.complete) list_.clear();
+  for (const Host& host : list.hosts) {
+    if (host.server.state == ServerState::kGone) {
+      list_.erase(host.server.id);
+    } else {
+      list_[host.server.id] = host;
+    }
+  }
+  listed_ = listed_ || !list.hosts.empty();
+  core_.Report(ToNews(list));
+  if (listed_ && succession_) succession_->Serve();
+}
+
+void Service::ListFailed() {
+  core_.Report(ServerNews{ServerNews::Kind::kFailed, {}});
+  if (settings_.ask_for_list) return;  // the policy says when to ask again
+  ask_again_.expires_after(Span(kAskAgain));
+  ask_again_.async_wait([this](error_code ec) {
+    if (!ec) discovery_.Watch();
+  });
+}
+
+// SIGKILL comes 700 ms after the longest deadline, which counts as 3 s where it is longer.
+void Service::Stop(std::function<void()> done) {
+  Millis longest = 0;
+  for (const ClassSettings& c : settings_.classes) longest = std::max(longest, c.deadline);
+  const Millis sooner = 3000 - std::min(3000.0, longest);
+  StopTimes times;
+  times.answer = std::max(times.accept, times.answer - sooner);
+  times.serve = std::max(times.accept, times.serve - sooner);
+  Stop(std::move(done), times);
+}
+
+void Service::Stop(std::function<void()> done, StopTimes times) {
+  if (std::exchange(stopping_, true)) return;
+  const auto after = [this](Millis wait, auto next) {
+    stop_.expires_after(Span(wait));
+    stop_.async_wait([next = std::move(next)](error_code) { next(); });
+  };
+  const auto fail_rest = [this, after, done] {
+    core_.FailAll();
+    after(kFlush, done);
+  };
+  const auto drain = [this, after, done, times, fail_rest] {
+    clients_.Drain(done);
+    after(times.answer - times.serve, fail_rest);
+  };
+  // The next process takes what comes; here only what was taken is finished.
+  if (succession_ && succession_->succeeded()) {
+    clients_.Drain(done);
+    return after(times.answer, fail_rest);
+  }
+  after(times.accept, [this, after, times, drain] {
+    clients_.StopListening();
+    after(times.serve - times.accept, drain);
+  });
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/app/service.hpp
@@ -0,0 +1,92 @@
+// One gateway in service: the core with its front, its hosts, discovery and the operators' calls around it.
+#ifndef MEADOWYARD_APP_SERVICE_HPP_
+#define MEADOWYARD_APP_SERVICE_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+
+#include "config/config.hpp"
+#include "core/budget.hpp"
+#include "core/gateway.hpp"
+#include "discovery/discovery.hpp"
+#include "fronts/http/client_server.hpp"
+#include "operations/admin_server.hpp"
+#include "operations/state_text.hpp"
+#include "operations/succession.hpp"
+#include "upstream/host_pool.hpp"
+
+namespace meadowyard {
+
+class Service {
+ public:
+  // Listens and watches at once. Throws std::exception if the settings or the address can't work.
+  Service(boost::asio::io_context& io, const Config& config) : Service(io, config, {}, {}) {}
+  // Follows another process: begins with what that one knows, and at its listening socket.
+  Service(boost::asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
+          std::optional<GatewayState> state);
+
+  boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
+
+  // Where operators call; throws std::bad_optional_access where the configuration has no such place.
+  boost::asio::ip::tcp::endpoint admin_address() const { return admin_.value().address(); }
+
+  // Takes over what a changed configuration may change while the gateway runs: the settings, and where
+  // discovery is.
+  void Reload(const Config& config);
+  // A changed configuration was turned down.
+  void KeptSettings() { core_.figures().Configured(false); }
+
+  // A planned end, in times from its beginning. SIGKILL comes at 3,700 ms or later.
+  struct StopTimes {
+    Millis accept = 500;  // until then connections are taken: they go on coming for up to 400
+    Millis serve =
+        2200;  // until then those that are open are served as ever: their clients have nowhere better
+    Millis answer = 3300;  // by then all is answered: the rest is failed
+  };
+  // Takes, serves and answers as `times` say, then calls `done`.
+  void Stop(std::function<void()> done, StopTimes times);
+  // The same in the times that the longest deadline leaves.
+  void Stop(std::function<void()> done);
+
+ private:
+  bool Maintain(const std::string& host, bool out);
+  // The same without telling the other process.
+  void Maintained(const std::string& host, bool out);
+  Succession::Handlers SuccessionHandlers();
+  std::string StateText();
+  // The next process serves: everything that is idle goes there.
+  void HandOver();
+  void TakeBack();
+  // Shares the descriptors out anew: the process before this one still holds so many of them.
+  void Share(std::size_t others);
+  void Told(const HostList& list);
+  void ListFailed();
+
+  const Config config_;  // as at the start
+  std::shared_ptr<const nlohmann::json> file_;
+  Settings settings_;       // as in the file in force
+  std::size_t others_ = 0;  // descriptors that the process before this one holds
+  Budget budget_;
+  HostPool hosts_;
+  Gateway core_;
+  Discovery discovery_;
+  std::map<std::string, Host> list_;  // as discovery told it
+  bool listed_ = false;               // some list of hosts is known
+  bool stopping_ = false;
+  boost::asio::steady_timer stop_;
+  boost::asio::steady_timer ask_again_;
+  ClientServer clients_;
+  std::optional<AdminServer> admin_;
+  std::optional<Succession> succession_;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_APP_SERVICE_HPP_
--- a/src/gateway/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "config.hpp"
+#include "config/config.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -7,12 +7,13 @@
 #include <set>
 #include <vector>
 
-#include "handover.hpp"
-#include "wire.hpp"
+#include "simwire/wire.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
+constexpr std::size_t kMostPath = 100;  // of a Unix socket's path, with room for a suffix
+
 using nlohmann::json;
 
 std::string Scalar(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
@@ -131,6 +132,13 @@
 
 }  // namespace
 
+std::string HandoverPath(const std::string& folder, const std::string& listen) {
+  std::string name = "meadowyard-" + listen;
+  std::replace(name.begin(), name.end(), ':', '-');
+  const std::string path = folder + "/" + name;
+  return path.size() > kMostPath ? "" : path;
+}
+
 Config LoadConfig(const std::function<const char*(const char*)>& variable, const json* in_force) {
   const char* const path = variable("NODE_CONFIG");
   if (path == nullptr) throw ConfigError("NODE_CONFIG: not set");
@@ -174,4 +182,4 @@
   return config;
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/config.hpp
+++ b/src/config/config.hpp
@@ -1,6 +1,6 @@
 // What the platform tells a gateway: the NODE_* variables and the JSON file that they name.
-#ifndef OPALSWITCH_GATEWAY_CONFIG_HPP_
-#define OPALSWITCH_GATEWAY_CONFIG_HPP_
+#ifndef MEADOWYARD_CONFIG_HPP_
+#define MEADOWYARD_CONFIG_HPP_
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
@@ -13,10 +13,10 @@
 #include <string>
 #include <string_view>
 
-#include "discovery.hpp"
-#include "opalswitch/policy.hpp"
+#include "discovery/discovery.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 // One line that names the variable or field that is missing or wrong.
 class ConfigError : public std::runtime_error {
@@ -39,6 +39,9 @@
   std::shared_ptr<const nlohmann::json> file;  // as it was read, less the list of hosts
 };
 
+// Where a process that listens for clients at `listen` is found by the next one; empty if it can't be.
+std::string HandoverPath(const std::string& folder, const std::string& listen);
+
 // `variable` looks up an environment variable: null if it is not set. A file that follows the one `in_force`
 // must have each of its keys, but for those that may be absent. Throws ConfigError; what it returns works.
 Config LoadConfig(const std::function<const char*(const char*)>& variable,
@@ -46,6 +49,6 @@
 // The same for a file that was read already.
 Config ParseConfig(nlohmann::json file, const std::function<const char*(const char*)>& variable);
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_CONFIG_HPP_
+#endif  // MEADOWYARD_CONFIG_HPP_
--- a/src/gateway/body_source.hpp
+++ b/src/core/body_source.hpp
@@ -1,7 +1,7 @@
 // A body that is still on its way: whoever passes it on asks for a piece at a time, so that no more of it is
 // held than one side has given and the other has not taken yet.
-#ifndef OPALSWITCH_GATEWAY_BODY_SOURCE_HPP_
-#define OPALSWITCH_GATEWAY_BODY_SOURCE_HPP_
+#ifndef MEADOWYARD_BODY_SOURCE_HPP_
+#define MEADOWYARD_BODY_SOURCE_HPP_
 
 #include <cstdint>
 #include <cstdio>
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 constexpr std::size_t kPiece = 16 * 1024;         // of a body, at the most
 constexpr std::uint64_t kMostStream = 33u << 20;  // bodies of 32 MB occur
@@ -43,6 +43,6 @@
 }
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_BODY_SOURCE_HPP_
+#endif  // MEADOWYARD_BODY_SOURCE_HPP_
--- a/src/gateway/clock.hpp
+++ b/src/core/clock.hpp
@@ -1,12 +1,12 @@
 // The gateway's one clock: the monotonic one, shifted once at the start so that it reads Unix time.
-#ifndef OPALSWITCH_GATEWAY_CLOCK_HPP_
-#define OPALSWITCH_GATEWAY_CLOCK_HPP_
+#ifndef MEADOWYARD_CLOCK_HPP_
+#define MEADOWYARD_CLOCK_HPP_
 
 #include <chrono>
 
-#include "opalswitch/policy.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 // Never runs backwards, as the policy demands, and a host's up_since_ms needs no further conversion: the
 // shift stays the same, for a start that moved a little between two lists would look like a restart.
@@ -24,6 +24,6 @@
   return std::chrono::microseconds(ms > 0 ? static_cast<std::int64_t>(ms * 1000) : 0);
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_CLOCK_HPP_
+#endif  // MEADOWYARD_CLOCK_HPP_
--- a/src/gateway/figures.cpp
+++ b/src/core/figures.cpp
@@ -1,8 +1,8 @@
-#include "figures.hpp"
+#include "core/figures.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
 constexpr std::size_t kMostClasses = 256;  // with those that were dropped: files may name ever new ones
@@ -47,4 +47,4 @@
   return figures.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/figures.hpp
+++ b/src/core/figures.hpp
@@ -1,16 +1,16 @@
 // What the gateway counts for its operators. Counted where a request is taken and where it ends, and nowhere
 // else; all counts begin at 0 with the process.
-#ifndef OPALSWITCH_GATEWAY_FIGURES_HPP_
-#define OPALSWITCH_GATEWAY_FIGURES_HPP_
+#ifndef MEADOWYARD_FIGURES_HPP_
+#define MEADOWYARD_FIGURES_HPP_
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "opalswitch/policy.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 class Figures {
  public:
@@ -39,6 +39,6 @@
   std::uint64_t current_ = 0, sends_ = 0, loaded_ = 0, invalid_ = 0;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_FIGURES_HPP_
+#endif  // MEADOWYARD_FIGURES_HPP_
--- /dev/null
+++ b/src/core/gateway.cpp
@@ -0,0 +1,277 @@
+#include "core/gateway.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "core/clock.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr Millis kMargin = 10;     // before a client leaves: answers travel, and timers may come late
+constexpr Millis kLastMargin = 4;  // before it leaves: what the policy has not answered by then is failed
+constexpr double kMostLoad = 1e6;  // no host can report more of anything
+
+// "inflight=7,util=0.61" in the order of the settings' fields; what is missing is not a number. A report that
+// can't be read in any part, or tells what no host can have, is none.
+std::vector<double> ParseLoad(std::string_view text, const std::vector<std::string>& fields) {
+  if (text.empty()) return {};
+  std::vector<double> load(fields.size(), std::numeric_limits<double>::quiet_NaN());
+  while (!text.empty()) {
+    const std::string_view pair = text.substr(0, text.find(','));
+    text.remove_prefix(std::min(text.size(), pair.size() + 1));
+    const std::size_t equals = pair.find('=');
+    if (equals == std::string_view::npos) return {};
+    double value = 0;
+    const char* const last = pair.data() + pair.size();
+    const auto [end, error] = std::from_chars(pair.data() + equals + 1, last, value);
+    if (error != std::errc() || end != last || !(value >= 0 && value <= kMostLoad)) return {};
+    const auto field = std::find(fields.begin(), fields.end(), pair.substr(0, equals));
+    if (field != fields.end()) load[static_cast<std::size_t>(field - fields.begin())] = value;
+  }
+  return load;
+}
+
+// The request that an event is about; empty if it is about none.
+std::string RequestOf(const Event& event) {
+  if (const auto* request = std::get_if<Request>(&event)) return request->id;
+  if (const auto* outcome = std::get_if<Outcome>(&event)) return outcome->request;
+  if (const auto* gone = std::get_if<ClientGone>(&event)) return gone->request;
+  return {};
+}
+
+}  // namespace
+
+Gateway::Gateway(asio::io_context& io, const Settings& settings, std::uint64_t seed, Upstream& upstream,
+                 Handlers handlers)
+    : io_(io),
+      settings_(settings),
+      policy_(settings_, seed),
+      upstream_(upstream),
+      handlers_(std::move(handlers)) {
+  figures_.Know(settings_.classes);
+}
+
+Policy::Admission Gateway::Admits(const std::string& class_name, Effect effect) {
+  return policy_.admits(Now(), class_name, effect);
+}
+
+void Gateway::Configure(const Settings& settings) {
+  settings_ = settings;
+  figures_.Know(settings_.classes);
+  Report(SettingsChanged{settings_});
+}
+
+void Gateway::FailAll() {
+  std::vector<std::string> left;
+  for (const auto& [id, flow] : flows_) left.push_back(id);
+  for (const std::string& id : left) Overdue(id);
+}
+
+void Gateway::Take(ClientRequest request) {
+  if (flows_.contains(request.id)) {  // two answers for one id could not be told apart
+    meadowyard::Answer answer;
+    answer.kind = meadowyard::Answer::Kind::kInUse;
+    return request.answer(std::move(answer));
+  }
+  Flow& flow = flows_.try_emplace(request.id, io_).first->second;
+  flow.call = std::make_shared<const Call>(std::move(request.call));
+  flow.answer = std::move(request.answer);
+  flow.class_name = request.class_name;
+  flow.rest = std::move(request.rest);
+  flow.allowed = request.allowed;
+  flow.leaves_at = request.received + request.allowed - kMargin;
+  const bool coming = flow.rest != nullptr;
+  if (!coming) Count(request.id, flow);
+  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
+                 request.retry, coming, request.effect});
+}
+
+void Gateway::Count(const std::string& id, Flow& flow) {
+  flow.counted = true;
+  flow.whole_at = Now();
+  figures_.Taken();
+  flow.overdue.expires_after(Span(flow.leaves_at + kMargin - kLastMargin - Now()));
+  flow.overdue.async_wait([this, id](error_code ec) {
+    if (!ec) Overdue(id);
+  });
+}
+
+void Gateway::Whole(const std::string& id) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return;
+  flow->rest.reset();
+  flow->leaves_at = Now() + flow->allowed - kMargin;
+  Count(id, *flow);
+  Report(RequestWhole{id, flow->leaves_at - Now()});
+}
+
+void Gateway::Begun(const std::string& id, std::size_t attempt, Reply reply,
+                    std::shared_ptr<BodySource> rest) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return rest->Abandon();
+  flow->answered = true;
+  flow->overdue.cancel();
+  flow->call.reset();
+  const Millis latency = Now() - std::max(flow->attempts[attempt].sent, flow->whole_at);
+  const auto answer = std::exchange(flow->answer, nullptr);
+  answer({meadowyard::Answer::Kind::kServed, 0, std::move(reply), std::move(rest),
+          [this, name = flow->class_name](bool whole) {
+            figures_.Ended(name, whole ? Figures::End::kAnswered : Figures::End::kErrored);
+          }});
+  Report(StreamStarted{id, static_cast<int>(attempt), latency});
+}
+
+void Gateway::Left(const std::string& id) {
+  Flow* const flow = Find(id);
+  if (flow != nullptr && !flow->answered) End(*flow, Figures::End::kLeft);  // nothing is owed any more
+  Report(ClientGone{id});
+}
+
+void Gateway::Ended(const std::string& id, std::size_t attempt, Result result, Reply reply) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr) return;
+  flow->spent = flow->spent || (flow->rest && flow->rest->begun());
+  Attempt& ended = flow->attempts[attempt];
+  ended.out = false;
+  Outcome outcome{id,
+                  static_cast<int>(attempt),
+                  ended.host,
+                  result,
+                  false,
+                  Now() - std::max(ended.sent, std::min(flow->whole_at, Now())),
+                  ParseLoad(reply.load_report, settings_.report_fields),
+                  flow->spent};
+  if (result == Result::kServed && !flow->answered) {
+    Answer(*flow, Figures::End::kAnswered,
+           {meadowyard::Answer::Kind::kServed, 0, std::move(reply), nullptr, nullptr});
+  }
+  Report(std::move(outcome));
+}
+
+// The policy's own timers answer in time; this one is for when they came late.
+void Gateway::Overdue(const std::string& id) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return;
+  Answer(*flow, Figures::End::kErrored, {meadowyard::Answer::Kind::kOverdue, 0, {}, nullptr, nullptr});
+  Report(ClientGone{id});
+}
+
+void Gateway::Report(Event event) {
+  events_.push_back(std::move(event));
+  if (reporting_) return;
+  reporting_ = true;
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    Event next = std::move(events_.front());
+    events_.pop_front();
+    const std::string id = RequestOf(next);
+    if (auto* const outcome = std::get_if<Outcome>(&next)) {
+      const Flow* const flow = Find(id);
+      outcome->finished = flow == nullptr || flow->answered;
+    }
+    actions.clear();
+    policy_.handle(Now(), next, actions);
+    for (const Action& action : actions) {
+      std::visit([this](const auto& a) { Do(a); }, action);
+    }
+    Settle(id);
+  }
+  reporting_ = false;
+}
+
+void Gateway::Do(const Send& send) {
+  Flow* const flow = Find(send.request);
+  const Millis now = Now();
+  // A request that is over, or one attempt too many, is never sent, whatever was decided a moment ago.
+  if (flow == nullptr || flow->answered ||
+      static_cast<int>(flow->attempts.size()) >= settings_.max_attempts) {
+    const int attempt = flow == nullptr ? 0 : static_cast<int>(flow->attempts.size());
+    if (flow != nullptr) flow->attempts.push_back({send.server, now, 0, false});
+    return Report(Outcome{send.request, attempt, send.server, Result::kNotSent, true, 0, {}});
+  }
+  const std::size_t index = flow->attempts.size();
+  flow->attempts.push_back({send.server, now});
+  const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
+  Errand errand;
+  errand.call = flow->call;
+  errand.rest = flow->rest;
+  errand.deadline = until;
+  errand.written = [this, name = flow->class_name] { figures_.Sent(name); };
+  errand.begun = [this, id = send.request, index](Reply reply, std::shared_ptr<BodySource> rest) {
+    Begun(id, index, std::move(reply), std::move(rest));
+  };
+  errand.done = [this, id = send.request, index](Result result, Reply reply) {
+    Ended(id, index, result, std::move(reply));
+  };
+  const std::uint64_t number = upstream_.Start(send.server, std::move(errand));
+  if (Flow* const still = Find(send.request)) still->attempts[index].number = number;
+}
+
+void Gateway::Do(const Refuse& refuse) {
+  Flow* const flow = Find(refuse.request);
+  if (flow == nullptr) return;
+  Answer(*flow, Figures::End::kDeferred,
+         {meadowyard::Answer::Kind::kRefused, refuse.retry_after, {}, nullptr, nullptr});
+  Settle(refuse.request);
+}
+
+void Gateway::Do(const Fail& fail) {
+  Flow* const flow = Find(fail.request);
+  if (flow == nullptr) return;
+  Answer(*flow, Figures::End::kErrored, {meadowyard::Answer::Kind::kFailed, 0, {}, nullptr, nullptr});
+  Settle(fail.request);
+}
+
+void Gateway::Do(const Cancel& cancel) {
+  Flow* const flow = Find(cancel.request);
+  const auto attempt = static_cast<std::size_t>(cancel.attempt);
+  if (flow != nullptr && attempt < flow->attempts.size()) upstream_.Cancel(flow->attempts[attempt].number);
+}
+
+void Gateway::Do(const SetTimer& timer) {
+  const auto wait = std::make_shared<asio::steady_timer>(io_, Span(timer.delay));
+  wait->async_wait([this, wait, name = timer.name](error_code ec) {
+    if (!ec) Report(TimerDue{name});
+  });
+}
+
+void Gateway::Do(const Watch&) { handlers_.watch(); }
+
+void Gateway::Do(const Log& log) { handlers_.log(log.text); }
+
+Gateway::Flow* Gateway::Find(const std::string& id) {
+  const auto found = flows_.find(id);
+  return found == flows_.end() ? nullptr : &found->second;
+}
+
+void Gateway::Answer(Flow& flow, Figures::End end, meadowyard::Answer answer) {
+  if (flow.answered) return;
+  End(flow, end);
+  std::exchange(flow.answer, nullptr)(std::move(answer));
+}
+
+void Gateway::End(Flow& flow, Figures::End end) {
+  flow.answered = true;
+  flow.overdue.cancel();
+  flow.call.reset();  // attempts that are still out have their own
+  figures_.Ended(flow.class_name, end, flow.counted);
+}
+
+void Gateway::Settle(const std::string& id) {
+  const auto found = flows_.find(id);
+  if (found == flows_.end() || !found->second.answered) return;
+  const auto& attempts = found->second.attempts;
+  if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; })) {
+    flows_.erase(found);
+  }
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/core/gateway.hpp
@@ -0,0 +1,109 @@
+// The core: what takes a request, reports Events to the decision module, carries out its Actions and ends the
+// request. Knows no protocol, no socket and no list's form.
+#ifndef MEADOWYARD_CORE_GATEWAY_HPP_
+#define MEADOWYARD_CORE_GATEWAY_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/figures.hpp"
+#include "core/message.hpp"
+#include "core/upstream.hpp"
+#include "meadowyard/policy.hpp"
+
+namespace meadowyard {
+
+class Gateway {
+ public:
+  struct Handlers {
+    std::function<void()> watch;  // the module asks for the list of hosts
+    std::function<void(const std::string& text)> log;
+  };
+  // Throws std::invalid_argument naming the field when the settings can't work. `upstream` outlives the
+  // calls.
+  Gateway(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Upstream& upstream,
+          Handlers handlers);
+
+  // ---- For fronts: each request that is taken gets one answer ----
+  Policy::Admission Admits(const std::string& class_name, Effect effect);
+  void Take(ClientRequest request);
+  // The body that was still coming is whole: from now on the request's time counts.
+  void Whole(const std::string& id);
+  // The client of an unanswered request has left.
+  void Left(const std::string& id);
+
+  // ---- For what surrounds the core ----
+  // Hands an event to the policy and carries out what it says, one event after the other: what an action
+  // causes at once waits in the queue.
+  void Report(Event event);
+  void Configure(const Settings& settings);
+  // Answers all that is open: the process ends.
+  void FailAll();
+  const Policy& policy() const { return policy_; }
+  Figures& figures() { return figures_; }
+
+ private:
+  struct Attempt {
+    std::string host;
+    Millis sent = 0;
+    std::uint64_t number = 0;  // the upstream's
+    bool out = true;
+  };
+  // A client's request, until it is answered and all its attempts have ended.
+  struct Flow {
+    explicit Flow(boost::asio::io_context& io) : overdue(io) {}
+    std::shared_ptr<const Call> call;
+    std::shared_ptr<BodySource> rest;  // of its body, until that is whole
+    std::function<void(meadowyard::Answer)> answer;
+    std::string class_name;
+    Millis allowed = 0;    // from when it is whole
+    Millis whole_at = 0;   // 0: it is not whole yet
+    bool counted = false;  // as taken
+    bool spent = false;    // pieces of its body are gone: it can't be sent again
+    Millis leaves_at = 0;  // by then the policy's answer must be under way
+    bool answered = false;
+    std::vector<Attempt> attempts;
+    boost::asio::steady_timer overdue;
+  };
+
+  void Count(const std::string& id, Flow& flow);
+  // An attempt has a long answer, which goes to the client as it comes.
+  void Begun(const std::string& id, std::size_t attempt, Reply reply, std::shared_ptr<BodySource> rest);
+  void Ended(const std::string& id, std::size_t attempt, Result result, Reply reply);
+  void Overdue(const std::string& id);
+
+  void Do(const Send& send);
+  void Do(const Refuse& refuse);
+  void Do(const Fail& fail);
+  void Do(const Cancel& cancel);
+  void Do(const SetTimer& timer);
+  void Do(const Watch& watch);
+  void Do(const Log& log);
+
+  Flow* Find(const std::string& id);
+  void Answer(Flow& flow, Figures::End end, meadowyard::Answer answer);
+  // Every request that was taken ends here, and is counted here.
+  void End(Flow& flow, Figures::End end);
+  void Settle(const std::string& id);
+
+  boost::asio::io_context& io_;
+  Settings settings_;
+  Policy policy_;
+  Figures figures_;
+  Upstream& upstream_;
+  const Handlers handlers_;
+  std::unordered_map<std::string, Flow> flows_;
+  std::deque<Event> events_;
+  bool reporting_ = false;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_CORE_GATEWAY_HPP_
--- /dev/null
+++ b/src/core/message.cpp
@@ -0,0 +1,40 @@
+#include "core/message.hpp"
+
+#include <algorithm>
+
+namespace meadowyard {
+
+bool EqualNames(std::string_view a, std::string_view b) {
+  const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c | 0x20) : c; };
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [&](char x, char y) { return lower(x) == lower(y); });
+}
+
+void Fields::Add(std::string_view name, std::string_view value) {
+  const auto at = static_cast<std::uint32_t>(text_.size());
+  text_.append(name).append(value);
+  entries_.push_back({at, static_cast<std::uint32_t>(name.size()), static_cast<std::uint32_t>(value.size())});
+}
+
+void Fields::Set(std::string_view name, std::string_view value) {
+  Erase(name);
+  Add(name, value);
+}
+
+void Fields::Erase(std::string_view name) {
+  std::erase_if(entries_, [&](const Entry& e) { return EqualNames(NameOf(e), name); });
+}
+
+std::string_view Fields::Get(std::string_view name) const {
+  for (const Entry& e : entries_) {
+    if (EqualNames(NameOf(e), name)) return ValueOf(e);
+  }
+  return {};
+}
+
+std::size_t Fields::Count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(),
+                                                [&](const Entry& e) { return EqualNames(NameOf(e), name); }));
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/core/upstream.hpp
@@ -0,0 +1,37 @@
+// What the core needs of whatever carries requests to hosts.
+#ifndef MEADOWYARD_CORE_UPSTREAM_HPP_
+#define MEADOWYARD_CORE_UPSTREAM_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/message.hpp"
+
+namespace meadowyard {
+
+// One attempt: what is sent, and who is told of its course.
+struct Errand {
+  std::shared_ptr<const Call> call;
+  std::shared_ptr<BodySource> rest;       // of its body, where that is still coming
+  Millis deadline = 0;                    // of the whole attempt; with a rest, as long after that is whole
+  std::function<void()> written = [] {};  // it was written whole
+  // Its answer is a long one: the head with the first piece of the body, and the rest. `done` still follows.
+  std::function<void(Reply, std::shared_ptr<BodySource>)> begun;
+  // How it ended; the reply is the host's, if there was one. Called once, perhaps before Start returns.
+  std::function<void(Result, Reply)> done;
+};
+
+class Upstream {
+ public:
+  virtual ~Upstream() = default;
+  // Sends the call unless the host is not to be used any more. Returns a number for Cancel.
+  virtual std::uint64_t Start(const std::string& host, Errand errand) = 0;
+  // Ends an attempt that is still out, with kCancelled.
+  virtual void Cancel(std::uint64_t attempt) = 0;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_CORE_UPSTREAM_HPP_
--- /dev/null
+++ b/src/decision/policy.cpp
@@ -0,0 +1,310 @@
+// The decisions of meadowyard. Their interface (settings, events, actions) is include/meadowyard/policy.hpp.
+// Each mechanism is a layer over the state (state.hpp) that sees only the layers below it: fleet, trust,
+// membership, picker, rate, queues. Here they meet: a request from its arrival to its answer.
+#include "meadowyard/policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "decision/queues.hpp"
+
+namespace meadowyard {
+namespace {
+
+constexpr Millis kSweepEvery = 10;       // ms between sweeps: queue expiry
+constexpr double kSlow = 0.01;           // weight of a new sample in a class's latency
+constexpr double kRetryShare = 0.1;      // further attempts earned by each first one
+constexpr double kRetryBurst = 20;       // further attempts that may be saved up
+constexpr double kFirstLeft = 0.05;      // weight of a first try in the time that first tries have left
+constexpr double kFirstTry = 0.95;       // part of the most time left below which it is a further try
+constexpr Millis kOldClass = 1500;       // ms that a class is taken after it was changed or dropped
+constexpr Millis kLeastRetryAfter = 10;  // ms; "at once" would be no advice
+
+}  // namespace
+
+class Policy::Impl : private Queues {
+ public:
+  Impl(Settings settings, std::uint64_t seed) {
+    set_ = std::move(settings);
+    random_.seed(seed);
+    const double worth = Validate(set_);
+    place_ = set_.index < 0 ? Uniform() : std::fmod(set_.index * 0.6180339887498949, 1.0);
+    Apply(worth);
+  }
+
+  using Membership::Knows;
+  using State::Recall;
+
+  bool MayUse(const std::string& id) const {
+    const auto found = servers_.find(id);
+    return found != servers_.end() && found->second.up;
+  }
+
+  Admission Admits(Millis now, const std::string& name, Effect effect) {
+    if (TierOf(name, effect, now) != nullptr) return Admission::kYes;
+    return TierOf(name, std::nullopt, now) != nullptr ? Admission::kNoEffect : Admission::kNoClass;
+  }
+
+  Census Count() const {
+    Census census;
+    for (const auto& [id, b] : servers_) {
+      census.listed += b.listed;
+      census.avoided += b.listed && (!b.up || b.suspect);
+    }
+    return census;
+  }
+
+  void Handle(Millis now, const Event& event, std::vector<Action>& out) {
+    out_ = &out;
+    Refill(now);
+    if (!std::exchange(started_, true)) Sweep();
+    std::visit([this](const auto& e) { On(e); }, event);
+    ++releases_;
+    for (Released next = TakeNext(); next.flow != nullptr; next = TakeNext())
+      Dispatch(*next.flow, *next.server);
+  }
+
+ private:
+  using Membership::On;
+
+  // ---- Settings --------------------------------------------------------------------------------
+
+  // Puts the settings into force, `worth` being that of all classes. What was learned of a class and what a
+  // tenant has left stays.
+  void Apply(double worth) {
+    const auto& fields = set_.report_fields;
+    busy_at_ = std::find(fields.begin(), fields.end(), "util") - fields.begin();
+    const Millis last = now_ + kOldClass;
+    for (Tier& c : classes_) c.until = std::min(c.until, last);
+    for (const ClassSettings& set : set_.classes) {
+      const Tier* const known = TierOf(set.name, std::nullopt, now_);
+      const Tier old = known != nullptr ? *known : Tier();
+      const bool same = known != nullptr && known->set == set && known->until == last;
+      Tier& c = same ? classes_[known - classes_.data()] : NewTier();
+      c.set = set;
+      c.until = std::numeric_limits<Millis>::infinity();
+      c.weight = worth > 0 ? set.worth / worth : 1.0 / static_cast<double>(set_.classes.size());
+      c.latency = old.latency;
+      c.samples = old.samples;
+    }
+    const auto spent = std::exchange(tenants_, {});
+    for (const TenantSettings& t : set_.tenants) {
+      Tenant& tenant = tenants_[t.name];
+      if (const auto found = spent.find(t.name); found != spent.end()) tenant = found->second;
+      tenant.per_ms = t.quota_per_s / set_.gateways / 1000;
+    }
+  }
+
+  void On(const SettingsChanged& changed) {
+    const double worth = Validate(changed.settings);  // throws before anything is changed
+    set_ = changed.settings;
+    Apply(worth);
+    ChooseSubset();
+  }
+
+  // ---- Requests ------------------------------------------------------------
+
+  void On(const Request& r) {
+    Tier* const tier = TierOf(r.class_name, r.effect, now_);
+    if (flows_.contains(r.id)) return;
+    if (tier == nullptr) return Emit(Refuse{r.id, 0});  // no such class: never sent
+    Flow& flow = flows_[r.id];
+    Tier& c = *tier;
+    ++c.open;
+    flow.id = r.id;
+    flow.cls = static_cast<int>(tier - classes_.data());
+    flow.most_attempts = set_.max_attempts;
+    flow.coming = r.coming;
+    flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
+    flow.arrived = now_;
+    arriving_ += 1 / kLongMemory;
+    const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
+    flow.leaves_at = now_ + left;
+    // A further try has less time left than a first one. If its aim is long past, it is worth as little
+    // as what a tenant sends beyond its share: a jam would feed on answers that come too late.
+    // Where clients mark further tries none else is one, and what first tries have left is their mean: a
+    // single client with more time than is usual must not make all others look late.
+    if (!set_.marks_retry) {
+      c.most_left = std::max(c.most_left, left);
+    } else if (!r.retry) {
+      c.most_left += (c.most_left > 0 ? kFirstLeft : 1) * (std::min(left, c.set.deadline) - c.most_left);
+    }
+    const bool further = set_.marks_retry ? r.retry : true;
+    const Millis spent = further && left < kFirstTry * c.most_left ? std::max(0.0, c.set.deadline - left) : 0;
+    const bool late = spent >= c.set.aim;
+    flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
+    flow.in_share = !late && InShare(r.tenant, r.retry);
+    retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
+    if (late && c.set.late_worth <= 0) return Answer(flow);           // worth nothing any more
+    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);  // no sweep may come in time
+    if (queued_ == 0 && tokens_ > 0 && Room()) {
+      if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
+    }
+    if (Flow* const displaced = Displaced(flow)) {
+      const bool itself = displaced == &flow;
+      Answer(*displaced);
+      if (itself) return;
+    }
+    Enqueue(flow);
+  }
+
+  // ---- Attempts and answers --------------------------------------------------------------------
+
+  void Dispatch(Flow& flow, Backend& b) {
+    const Millis until = classes_[flow.cls].set.late_worth > 0 ? flow.leaves_at : flow.aim_at;
+    tokens_ -= 1;
+    spent_rate_ += 1000 / kSpentMemory / (sharers_ > kManySharers ? 4 : 1);
+    if (Warmth(b) < 1) b.cold_credit -= 1;
+    b.in_flight += !flow.coming;  // what is still coming is no work yet
+    ++out_now_;
+    ++b.refs;
+    flow.attempts.push_back({&b, now_, true, true, !flow.coming});
+    Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
+  }
+
+  void On(Outcome o) {
+    Flow* const known = Find(o.request);
+    if (!known || o.attempt < 0 || o.attempt >= static_cast<int>(known->attempts.size())) return;
+    Flow& flow = *known;
+    Attempt& attempt = flow.attempts[o.attempt];
+    if (!std::exchange(attempt.out, false)) return;
+    if (!std::isfinite(o.latency) || o.latency < 0)
+      o.latency = now_ - attempt.sent;  // never into an estimate
+    attempt.may_have_run =
+        o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
+    Backend& b = *attempt.server;
+    b.in_flight -= std::exchange(attempt.loads, false);
+    --out_now_;
+    if (!attempt.streams) LearnFrom(b, flow, o);
+    if (o.finished || o.result == Result::kServed) flow.answered = true;
+    if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o);
+    Settle(flow);
+  }
+
+  void LearnFrom(Backend& b, const Flow& flow, const Outcome& o) {
+    if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
+    if (o.result == Result::kCancelled || o.result == Result::kNotSent) return;  // nothing of the server
+    MoveRate(b, flow, o);  // first: by whether the server was held ready until now
+    Hear(b, o.load);
+    Judge(b, flow, o);
+  }
+
+  void LearnClass(Tier& c, Millis latency) {
+    c.latency += std::max(kSlow, 1.0 / ++c.samples) * (latency - c.latency);
+    mean_latency_ += std::max(kSlow, 1.0 / ++samples_) * (latency - mean_latency_);
+  }
+
+  // Another attempt only where it is legal, can still be in time, and the server was to blame.
+  void TryAgain(Flow& flow, const Outcome& o) {
+    const ClassSettings& c = classes_[flow.cls].set;
+    const bool legal = flow.NeverRan() || c.effect != Effect::kUnsafe;
+    const bool heavy = o.result == Result::kTimedOut && !flow.attempts.back().server->suspect;
+    const bool in_time = now_ + classes_[flow.cls].latency < flow.aim_at;
+    const bool more =
+        static_cast<int>(flow.attempts.size()) < std::min(flow.most_attempts, set_.max_attempts);
+    // A connection that never came up cost no server any work.
+    const double price = o.result == Result::kConnectFailed && Many() ? 0 : 1;
+    if (!legal || o.spent || heavy || !in_time || !more || retry_budget_ < price) return Answer(flow);
+    retry_budget_ -= price;
+    Hold(flow, classes_[flow.cls].retries);
+  }
+
+  // The final answer to a request with no attempt out. A refusal says that trying again is harmless.
+  void Answer(Flow& flow) {
+    const ClassSettings& c = classes_[flow.cls].set;
+    const bool harmless = flow.NeverRan() || c.effect == Effect::kSafe ||
+                          (c.effect == Effect::kKeyed && c.group == Group::kAll);
+    Emit(harmless ? Action(Refuse{flow.id, RetryAfter()}) : Action(Fail{flow.id}));
+    flow.answered = true;
+    Settle(flow);
+  }
+
+  Millis RetryAfter() const {
+    if (!set_.retry_after) return 0;
+    // With no queue a place comes free, on average, within half of the time that an answer takes.
+    const Millis queue = 1000 * static_cast<double>(queued_) / std::max(spent_rate_, 1.0);
+    return std::min(set_.max_retry_after, std::max({queue, mean_latency_ / 2, kLeastRetryAfter}));
+  }
+
+  // Forgets a request that is answered and has nothing out. `flow` may be gone afterwards.
+  void Settle(Flow& flow) {
+    if (!flow.answered || flow.queued || flow.AnyOut()) return;
+    for (const Attempt& a : flow.attempts) --a.server->refs;
+    --classes_[flow.cls].open;
+    flows_.erase(flow.id);
+  }
+
+  void On(const ClientGone& gone) {
+    Flow* const known = Find(gone.request);
+    if (known == nullptr) return;
+    Flow& flow = *known;
+    Unqueue(flow);
+    flow.answered = true;
+    for (std::size_t i = 0; set_.may_cancel && i < flow.attempts.size(); ++i) {
+      if (flow.attempts[i].out) Emit(Cancel{flow.id, static_cast<int>(i)});
+    }
+    Settle(flow);
+  }
+
+  // The client owns it now; its outcome is still awaited. The server has done its work when an answer begins:
+  // how long the client takes to read it says nothing of the server.
+  void On(const StreamStarted& s) {
+    Flow* const flow = Find(s.request);
+    if (flow == nullptr) return;
+    flow->answered = true;
+    if (s.attempt < 0 || s.attempt >= static_cast<int>(flow->attempts.size()) || !(s.latency > 0)) return;
+    Attempt& attempt = flow->attempts[s.attempt];
+    if (!attempt.out || std::exchange(attempt.streams, true)) return;
+    attempt.server->in_flight -= std::exchange(attempt.loads, false);
+    Outcome begun;  // served, as far as the server goes
+    begun.latency = s.latency;
+    LearnFrom(*attempt.server, *flow, begun);
+  }
+
+  void On(const RequestWhole& whole) {
+    Flow* const flow = Find(whole.request);
+    if (flow == nullptr || !std::exchange(flow->coming, false)) return;
+    flow->arrived = now_;
+    flow->leaves_at = now_ + (std::isfinite(whole.time_left) ? std::max(0.0, whole.time_left) : 0.0);
+    flow->aim_at = std::min(now_ + classes_[flow->cls].set.aim, flow->leaves_at);
+    for (Attempt& a : flow->attempts) {
+      if (a.out && !std::exchange(a.loads, true)) ++a.server->in_flight;
+    }
+  }
+
+  void On(const TimerDue&) { Sweep(); }
+
+  void Sweep() {
+    Emit(SetTimer{kSweepEvery, "sweep"});
+    if (set_.ask_for_list && now_ >= ask_at_) {
+      Emit(Watch{});
+      ask_at_ = std::numeric_limits<Millis>::infinity();
+    }
+    LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
+    for (Flow* flow : Expired()) {
+      Unqueue(*flow);
+      Answer(*flow);
+    }
+  }
+};
+
+Policy::Policy(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Policy::~Policy() = default;
+Policy::Policy(Policy&&) noexcept = default;
+Policy& Policy::operator=(Policy&&) noexcept = default;
+
+void Policy::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+  impl_->Handle(now, event, actions);
+}
+
+bool Policy::knows(const std::string& server) const { return impl_->Knows(server); }
+bool Policy::may_use(const std::string& server) const { return impl_->MayUse(server); }
+Policy::Admission Policy::admits(Millis now, const std::string& class_name, Effect effect) const {
+  return impl_->Admits(now, class_name, effect);
+}
+Policy::Census Policy::census() const { return impl_->Count(); }
+Recollection Policy::recall() const { return impl_->Recall(); }
+
+}  // namespace meadowyard
--- a/src/settings.cpp
+++ b/src/decision/settings.cpp
@@ -2,9 +2,9 @@
 #include <cmath>
 #include <stdexcept>
 
-#include "state.hpp"
+#include "decision/state.hpp"
 
-namespace opalswitch {
+namespace meadowyard {
 namespace {
 
 void Check(bool good, const char* what) {
@@ -42,4 +42,4 @@
   return worth;
 }
 
-}  // namespace opalswitch
+}  // namespace meadowyard
--- a/src/state.hpp
+++ b/src/decision/state.hpp
@@ -1,6 +1,6 @@
 // What a Policy remembers: plain data without decisions, and the check of its settings.
-#ifndef OPALSWITCH_STATE_HPP_
-#define OPALSWITCH_STATE_HPP_
+#ifndef MEADOWYARD_STATE_HPP_
+#define MEADOWYARD_STATE_HPP_
 
 #include <algorithm>
 #include <cmath>
@@ -17,9 +17,9 @@
 #include <utility>
 #include <vector>
 
-#include "opalswitch/policy.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch {
+namespace meadowyard {
 
 constexpr Millis kNever = -1e15;
 
@@ -293,6 +293,6 @@
   double Uniform() { return static_cast<double>(random_() >> 11) / 9007199254740992.0; }
 };
 
-}  // namespace opalswitch
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_STATE_HPP_
+#endif  // MEADOWYARD_STATE_HPP_
--- a/src/gateway/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -1,4 +1,4 @@
-#include "discovery.hpp"
+#include "discovery/discovery.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -7,9 +7,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "clock.hpp"
+#include "core/clock.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
 namespace asio = boost::asio;
@@ -206,4 +206,4 @@
   socket_.reset();
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -1,6 +1,6 @@
 // The list of hosts: its form, and the watch on discovery that keeps it up to date.
-#ifndef OPALSWITCH_GATEWAY_DISCOVERY_HPP_
-#define OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+#ifndef MEADOWYARD_DISCOVERY_HPP_
+#define MEADOWYARD_DISCOVERY_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,9 +13,9 @@
 #include <string_view>
 #include <vector>
 
-#include "opalswitch/policy.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 struct Host {
   Server server;
@@ -75,6 +75,6 @@
   bool watching_ = false;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_DISCOVERY_HPP_
+#endif  // MEADOWYARD_DISCOVERY_HPP_
--- /dev/null
+++ b/src/fronts/http/client_server.cpp
@@ -0,0 +1,178 @@
+#include "fronts/http/client_server.hpp"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "fronts/http/session.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr Millis kSweepEvery = 200;
+constexpr Millis kAcceptAgain = 50;  // after an accept that failed, out of descriptors perhaps
+
+}  // namespace
+
+ClientServer::ClientServer(asio::io_context& io, const Door& door, const ClientLimits& limits,
+                           Handlers handlers)
+    : io_(io), acceptor_(io), limits_(limits), handlers_(std::move(handlers)), sweep_(io), accept_again_(io) {
+  if (door.listener >= 0) {
+    acceptor_.assign(door.address.protocol(), door.listener);
+    acceptor_.non_blocking(true);
+  } else {
+    acceptor_.open(door.address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (door.shared) {
+      acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+    }
+    acceptor_.non_blocking(true);
+    acceptor_.bind(door.address);
+    acceptor_.listen();
+  }
+  Accept();
+  Sweep();
+}
+
+ClientServer::~ClientServer() = default;
+
+void ClientServer::Accept() {
+  if (accepting_ || !acceptor_.is_open() || pass_) return;
+  accepting_ = true;
+  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    accepting_ = false;
+    if (!acceptor_.is_open()) return;
+    if (!ec) {
+      Accepted(std::move(socket));
+      // With all places taken by requests under way, further clients wait in the kernel's queue.
+      if (!Full() || Evict()) Accept();
+      return;
+    }
+    if (ec == asio::error::operation_aborted) return Accept();  // does nothing while another process serves
+    if (ec == asio::error::no_descriptors) Evict();
+    accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
+    accept_again_.async_wait([this](error_code wait_ec) {
+      if (!wait_ec) Accept();
+    });
+  });
+}
+
+void ClientServer::Accepted(tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->Begin();
+}
+
+void ClientServer::Closed(const std::shared_ptr<Session>& session) {
+  sessions_.erase(session);
+  if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
+  if (!Full()) Accept();
+}
+
+bool ClientServer::Waiting() const { return !accepting_ && acceptor_.is_open() && !pass_ && Full(); }
+
+// Connections that clients keep after a request and don't use again count against what they may open: past
+// `usual` they shut further clients out, long before places run out here. In a stop the kept ones are all
+// that clients have left.
+bool ClientServer::Crowded() const { return sessions_.size() > limits_.usual && handlers_.ready(); }
+
+// Makes room: the least worth keeping goes first, and among its like the one that stood for longest. Where
+// there is still room none is closed that has begun a request, or is about to.
+bool ClientServer::Evict(bool idle_only) {
+  const Millis now = Now();
+  std::shared_ptr<Session> worst;
+  std::pair<Standing, Millis> least;
+  for (const auto& session : sessions_) {
+    const std::pair rank(session->standing(now), session->since());
+    if (rank.first == Standing::kKept || (worst && least <= rank) || !session->MayEvict()) continue;
+    if (idle_only && (rank.first == Standing::kHalfRequest || rank.first == Standing::kNew)) continue;
+    worst = session;
+    least = rank;
+  }
+  if (worst) worst->Close();
+  return worst != nullptr;
+}
+
+bool ClientServer::Reserve(std::uint64_t bytes, std::size_t& held) {
+  if (reserved_ + bytes > limits_.body_bytes) return false;
+  held += bytes;
+  reserved_ += bytes;
+  return true;
+}
+
+void ClientServer::Sweep() {
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) {
+    if (pass_) session->Yield();
+    session->Sweep(Now());
+  }
+  sweep_.expires_after(Span(kSweepEvery));
+  sweep_.async_wait([this](error_code ec) {
+    if (!ec) Sweep();
+  });
+}
+
+void ClientServer::StopListening() {
+  // Whoever stands in the queue has connected, and may have sent a request: to close on it would lose that.
+  for (error_code ec; !Full();) {
+    tcp::socket socket = acceptor_.accept(ec);
+    if (ec) break;
+    Accepted(std::move(socket));
+  }
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_again_.cancel();
+}
+
+void ClientServer::Drain(std::function<void()> done) {
+  draining_ = !pass_;
+  stopped_ = std::move(done);
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) {
+    if (!pass_ && session->Idle()) session->Close();
+  }
+  if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
+}
+
+void ClientServer::HandOver(Pass pass) {
+  pass_ = std::move(pass);
+  error_code ignored;
+  acceptor_.cancel(ignored);  // one that was accepted by now is still told, and is handed over in its turn
+  const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+  for (const auto& session : all) session->Yield();
+}
+
+void ClientServer::TakeBack() {
+  pass_ = nullptr;
+  Accept();
+}
+
+void ClientServer::Adopt(int fd, std::string_view unread) {
+  error_code ec;
+  tcp::socket socket(io_);
+  socket.assign(acceptor_.local_endpoint(ec).protocol(), fd, ec);
+  if (ec || unread.size() > kMostReadBuffer) {
+    ::close(fd);
+    return;
+  }
+  if (Full()) Evict();
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->Adopted(unread);
+}
+
+void ClientServer::SetPlaces(std::size_t sessions, std::size_t usual) {
+  limits_.sessions = sessions;
+  limits_.usual = usual;
+  if (!Full()) Accept();
+}
+
+}  // namespace meadowyard
--- a/src/gateway/client_server.hpp
+++ b/src/fronts/http/client_server.hpp
@@ -1,6 +1,6 @@
 // The side that clients see: the listener, /up, the parsing of requests, and the one answer to each.
-#ifndef OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
-#define OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+#ifndef MEADOWYARD_CLIENT_SERVER_HPP_
+#define MEADOWYARD_CLIENT_SERVER_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,30 +13,10 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "body_source.hpp"
-#include "http_types.hpp"
-#include "opalswitch/policy.hpp"
+#include "core/message.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
-
-// What a client is told: an answer that is whole, or the beginning of one.
-struct Answer {
-  HttpResponse http;
-  std::shared_ptr<BodySource> rest;        // null: the answer is whole
-  std::function<void(bool whole)> passed;  // for one with a rest: all of it has gone to the client, or not
-};
-
-// A client's well-formed request.
-struct ClientRequest {
-  HttpRequest http;
-  std::string id, class_name, tenant, key;
-  Effect effect = Effect::kUnsafe;     // as which the client made it
-  bool retry = false;                  // the client's own further try
-  Millis received = 0;                 // when its last byte was read
-  Millis allowed = 0;                  // how long the client waits, from when it sent it
-  std::shared_ptr<BodySource> rest;    // of a body that is not whole yet; null if it is
-  std::function<void(Answer)> answer;  // to be called once; what follows is dropped
-};
+namespace meadowyard {
 
 struct ClientLimits {
   std::size_t sessions = 256;
@@ -108,10 +88,6 @@
   // Counts a body that is to be read; false if there is no room for it.
   bool Reserve(std::uint64_t bytes, std::size_t& held);
   void Sweep();
-  // Checks a request against the settings and the protocol; the error is an answer's status and text.
-  struct Fault;
-  std::unique_ptr<Fault> Check(const HttpRequest& http, ClientRequest& request) const;
-
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   ClientLimits limits_;
@@ -126,6 +102,6 @@
   std::function<void()> stopped_;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_CLIENT_SERVER_HPP_
+#endif  // MEADOWYARD_CLIENT_SERVER_HPP_
--- /dev/null
+++ b/src/fronts/http/request_reader.hpp
@@ -0,0 +1,98 @@
+// Reads a client's requests from its connection: heads, and bodies a piece at a time.
+#ifndef MEADOWYARD_FRONTS_HTTP_REQUEST_READER_HPP_
+#define MEADOWYARD_FRONTS_HTTP_REQUEST_READER_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/body_source.hpp"
+#include "fronts/http/request_rules.hpp"
+#include "http/messages.hpp"
+
+namespace meadowyard {
+
+constexpr std::size_t kMostReadBuffer = 24 * 1024;  // holds a whole head; bodies pass through it
+
+class RequestReader {
+ public:
+  using Error = boost::system::error_code;
+  explicit RequestReader(boost::asio::ip::tcp::socket& socket) : socket_(socket) { Restart(); }
+
+  // For the next request on the connection.
+  void Restart();
+  // `then(error)`; `owner` is kept until it was called.
+  template <typename Owner, typename Then>
+  void ReadHead(Owner owner, Then then) {
+    boost::beast::http::async_read_header(
+        socket_, buffer_, *parser_, [owner = std::move(owner), then](Error ec, std::size_t) { then(ec); });
+  }
+  // A piece of the body: `then(error, piece)`.
+  template <typename Owner, typename Then>
+  void ReadPiece(Owner owner, Then then) {
+    piece_.resize(kPiece);
+    parser_->get().body() = {piece_.data(), piece_.size(), true};
+    boost::beast::http::async_read_some(
+        socket_, buffer_, *parser_, [this, owner = std::move(owner), then](Error ec, std::size_t) {
+          if (ec == boost::beast::http::error::need_buffer) ec = {};
+          const auto& body = parser_->get().body();
+          then(ec, std::string_view(piece_.data(), piece_.empty() ? 0 : kPiece - body.size));
+        });
+  }
+
+  const auto& head() const { return parser_->get(); }
+  bool Begun() const { return buffer_.size() > 0 || parser_->got_some(); }
+  bool got_some() const { return parser_->got_some(); }
+  bool head_done() const { return parser_->is_header_done(); }
+  bool done() const { return parser_->is_done(); }
+  std::optional<std::uint64_t> length() const;
+  // What was read beyond the request.
+  std::string_view unread() const;
+  void Feed(std::string_view unread);
+
+ private:
+  boost::asio::ip::tcp::socket& socket_;
+  boost::beast::flat_buffer buffer_{kMostReadBuffer};
+  std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> parser_;
+  std::string piece_;
+};
+
+// A message that breaks HTTP, as opposed to a connection that ended.
+bool IsMalformed(boost::system::error_code ec);
+Page MalformedPage(boost::system::error_code ec);
+
+// The rest of a request's long body, for whoever passes it on. It outlives its connection's part in it.
+class Upload : public BodySource {
+ public:
+  // `asked` has the connection read a piece, which it gives.
+  Upload(boost::asio::io_context& io, std::optional<std::uint64_t> size, std::function<void()> asked)
+      : io_(io), size_(size), asked_(std::move(asked)) {}
+
+  void Ask(Take take) override;
+  void Abandon() override {}
+  std::optional<std::uint64_t> length() const override { return size_; }
+  bool begun() const override { return begun_; }
+
+  bool waiting() const { return take_ != nullptr; }
+  void Give(Next next, std::string_view piece);
+  // The connection has no more part in it.
+  void Detach();
+
+ private:
+  boost::asio::io_context& io_;
+  const std::optional<std::uint64_t> size_;
+  std::function<void()> asked_;
+  Take take_;
+  bool begun_ = false;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_FRONTS_HTTP_REQUEST_READER_HPP_
--- a/src/gateway/admin_server.cpp
+++ b/src/operations/admin_server.cpp
@@ -1,4 +1,4 @@
-#include "admin_server.hpp"
+#include "operations/admin_server.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -7,9 +7,9 @@
 #include <string_view>
 #include <utility>
 
-#include "clock.hpp"
+#include "core/clock.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
 namespace asio = boost::asio;
@@ -20,7 +20,7 @@
 constexpr std::size_t kMostCall = 4096;  // a head, and as much again for a body that nobody needs
 constexpr Millis kAcceptAgain = 50;      // after an accept that failed
 
-HttpResponse Reply(http::status status, std::string text) {
+HttpResponse PlainReply(http::status status, std::string text) {
   HttpResponse response(status, 11);
   response.set(http::field::content_type, "text/plain");
   response.body() = std::move(text);
@@ -82,7 +82,7 @@
       // Whoever ended half a call can still read what was wrong with it; whoever reset it, or sent none, not.
       const bool gone = ec.category() != http::make_error_code(http::error::bad_version).category();
       if (gone || ec == http::error::end_of_stream) return self->Close();
-      self->Answer(Reply(http::status::bad_request, ec.message() + "\n"));
+      self->Answer(PlainReply(http::status::bad_request, ec.message() + "\n"));
     });
   }
 
@@ -100,7 +100,7 @@
     timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (ec || self->closed_) return;
       if (self->answered_) return self->Close();
-      self->Answer(Reply(http::status::request_timeout, "the call is not whole\n"));
+      self->Answer(PlainReply(http::status::request_timeout, "the call is not whole\n"));
     });
   }
 
@@ -172,34 +172,35 @@
 
 HttpResponse AdminServer::Handle(const HttpRequest& request) {
   if (FramingOf(request) == Framing::kAmbiguous) {
-    return Reply(http::status::bad_request, "where the body ends is not clear\n");
+    return PlainReply(http::status::bad_request, "where the body ends is not clear\n");
   }
   const std::string target(request.target().data(), request.target().size());
   const std::string path = target.substr(0, target.find('?'));
   const std::string query = path.size() < target.size() ? target.substr(path.size() + 1) : "";
   const bool reads = path == "/status" || path == "/status/metrics";
   const bool out = path == "/maintenance/enter";
-  if (!reads && !out && path != "/maintenance/exit") return Reply(http::status::not_found, "no such path\n");
+  if (!reads && !out && path != "/maintenance/exit")
+    return PlainReply(http::status::not_found, "no such path\n");
   if (request.method() != (reads ? http::verb::get : http::verb::put)) {
-    HttpResponse response = Reply(http::status::method_not_allowed, "the path takes another method\n");
+    HttpResponse response = PlainReply(http::status::method_not_allowed, "the path takes another method\n");
     response.set(http::field::allow, reads ? "GET" : "PUT");
     return response;
   }
   if (!reads) return Maintain(query, out);
   if (path == "/status") {
-    return handlers_.ready() ? Reply(http::status::ok, "yes\n")
-                             : Reply(http::status::service_unavailable, "no\n");
+    return handlers_.ready() ? PlainReply(http::status::ok, "yes\n")
+                             : PlainReply(http::status::service_unavailable, "no\n");
   }
-  HttpResponse response = Reply(http::status::ok, handlers_.figures());
+  HttpResponse response = PlainReply(http::status::ok, handlers_.figures());
   response.set(http::field::content_type, "application/json");
   return response;
 }
 
 HttpResponse AdminServer::Maintain(const std::string& query, bool out) {
   const auto host = Parameter(query, "target");
-  if (!host) return Reply(http::status::bad_request, "target: one host id is wanted\n");
-  if (!handlers_.maintain(*host, out)) return Reply(http::status::not_found, "no host has this id\n");
-  return Reply(http::status::ok, out ? "left out\n" : "put back\n");
+  if (!host) return PlainReply(http::status::bad_request, "target: one host id is wanted\n");
+  if (!handlers_.maintain(*host, out)) return PlainReply(http::status::not_found, "no host has this id\n");
+  return PlainReply(http::status::ok, out ? "left out\n" : "put back\n");
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/admin_server.hpp
+++ b/src/operations/admin_server.hpp
@@ -1,7 +1,7 @@
 // Where operators call: one short HTTP call a connection, apart from the clients' listener, so that a crowd
 // there keeps no operator waiting.
-#ifndef OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
-#define OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
+#ifndef MEADOWYARD_ADMIN_SERVER_HPP_
+#define MEADOWYARD_ADMIN_SERVER_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,10 +12,10 @@
 #include <memory>
 #include <string>
 
-#include "http_types.hpp"
-#include "opalswitch/policy.hpp"
+#include "http/messages.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 class AdminServer {
  public:
@@ -52,6 +52,6 @@
   std::list<std::shared_ptr<Call>> calls_;  // the oldest first
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_ADMIN_SERVER_HPP_
+#endif  // MEADOWYARD_ADMIN_SERVER_HPP_
--- a/src/gateway/handover.cpp
+++ b/src/operations/handover.cpp
@@ -1,4 +1,4 @@
-#include "handover.hpp"
+#include "operations/handover.hpp"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -12,16 +12,15 @@
 #include <cstring>
 #include <vector>
 
-#include "clock.hpp"
+#include "core/clock.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
 namespace asio = boost::asio;
 using boost::system::error_code;
 
 constexpr Millis kAskWithin = 3000;  // the platform gives a new process 6 s to serve
-constexpr std::size_t kMostPath = sizeof(sockaddr_un::sun_path) - 8;  // with room for a suffix
 
 // Only processes of the same user may take a gateway over.
 bool SameUser(int link) {
@@ -131,13 +130,6 @@
   return state_->socket.is_open() && SendMessage(state_->socket.native_handle(), kind, text, descriptor);
 }
 
-std::string HandoverPath(const std::string& folder, const std::string& listen) {
-  std::string name = "forkwick-" + listen;
-  std::replace(name.begin(), name.end(), ':', '-');
-  const std::string path = folder + "/" + name;
-  return path.size() > kMostPath ? "" : path;
-}
-
 std::optional<Inheritance> AskPredecessor(const std::string& path) {
   if (path.empty()) return std::nullopt;
   Descriptor link(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
@@ -200,4 +192,4 @@
   });
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/handover.hpp
+++ b/src/operations/handover.hpp
@@ -1,7 +1,7 @@
 // The hand-over from one process to the next while clients are served: the way that both find each other, and
 // the messages and descriptors that pass between them. What is handed over is for others to say.
-#ifndef OPALSWITCH_GATEWAY_HANDOVER_HPP_
-#define OPALSWITCH_GATEWAY_HANDOVER_HPP_
+#ifndef MEADOWYARD_HANDOVER_HPP_
+#define MEADOWYARD_HANDOVER_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <utility>
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 // An open descriptor, closed with its owner.
 class Descriptor {
@@ -75,9 +75,6 @@
   const std::shared_ptr<State> state_;
 };
 
-// Where a process that listens for clients at `listen` is found by the next one; empty if it can't be.
-std::string HandoverPath(const std::string& folder, const std::string& listen);
-
 struct Inheritance {
   std::string state;
   Descriptor listener;  // the clients'
@@ -103,6 +100,6 @@
   boost::asio::posix::stream_descriptor listener_;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_HANDOVER_HPP_
+#endif  // MEADOWYARD_HANDOVER_HPP_
--- a/src/gateway/live_settings.cpp
+++ b/src/operations/live_settings.cpp
@@ -1,8 +1,8 @@
-#include "live_settings.hpp"
+#include "operations/live_settings.hpp"
 
 #include <utility>
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 LiveSettings::LiveSettings(std::function<const char*(const char*)> variable, const Config& in_force,
                            Handlers handlers)
@@ -18,4 +18,4 @@
   }
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/live_settings.hpp
+++ b/src/operations/live_settings.hpp
@@ -1,13 +1,13 @@
 // Settings that change while the gateway serves: SIGHUP has the file read again, checked whole, and taken or
 // turned down.
-#ifndef OPALSWITCH_GATEWAY_LIVE_SETTINGS_HPP_
-#define OPALSWITCH_GATEWAY_LIVE_SETTINGS_HPP_
+#ifndef MEADOWYARD_LIVE_SETTINGS_HPP_
+#define MEADOWYARD_LIVE_SETTINGS_HPP_
 
 #include <functional>
 
-#include "config.hpp"
+#include "config/config.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 class LiveSettings {
  public:
@@ -26,6 +26,6 @@
   std::shared_ptr<const nlohmann::json> in_force_;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_LIVE_SETTINGS_HPP_
+#endif  // MEADOWYARD_LIVE_SETTINGS_HPP_
--- a/src/gateway/state_text.cpp
+++ b/src/operations/state_text.cpp
@@ -1,8 +1,8 @@
-#include "state_text.hpp"
+#include "operations/state_text.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace opalswitch {
+namespace meadowyard {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Recollection::OfServer, id, latency, steady, base, limit, failing, samples,
                                    suspect, lost, last_served, cold_since, cold_credit)
@@ -11,9 +11,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Recollection, servers, kinds, classes, out_by_hand, rate, spent_rate,
                                    arriving, failing, unserved, warm_served, warm_time, mean_latency, samples)
 
-}  // namespace opalswitch
+}  // namespace meadowyard
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 using nlohmann::json;
 
@@ -42,4 +42,4 @@
   }
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/state_text.hpp
+++ b/src/operations/state_text.hpp
@@ -1,15 +1,15 @@
 // What one process tells the next of itself, as JSON text.
-#ifndef OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
-#define OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
+#ifndef MEADOWYARD_STATE_TEXT_HPP_
+#define MEADOWYARD_STATE_TEXT_HPP_
 
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 
-#include "discovery.hpp"
-#include "opalswitch/policy.hpp"
+#include "discovery/discovery.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 struct GatewayState {
   std::string file;       // the configuration in force
@@ -24,6 +24,6 @@
 // Nothing if the text is broken, or of a version that says less.
 std::optional<GatewayState> ParseState(const std::string& text);
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_STATE_TEXT_HPP_
+#endif  // MEADOWYARD_STATE_TEXT_HPP_
--- a/src/gateway/succession.cpp
+++ b/src/operations/succession.cpp
@@ -1,12 +1,13 @@
-#include "succession.hpp"
+#include "operations/succession.hpp"
 
-#include <cstdio>
+#include <cstdlib>
 #include <utility>
 
-#include "clock.hpp"
-#include "discovery.hpp"
+#include "core/clock.hpp"
+#include "discovery/discovery.hpp"
+#include "log/log.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 namespace {
 
 using boost::system::error_code;
@@ -36,7 +37,8 @@
   if (std::exchange(serving_, true)) return;
   if (before_) before_->Send(Kind::kReady, "");
   if (may_be_followed_ && !server_.Listen()) {
-    std::fprintf(stderr, "forkwick: the next version will not find this one in $TMPDIR\n");
+    LogEvent(LogLevel::kWarn, "handover_unreachable",
+             {{"text", "the next version will not find this one in $TMPDIR"}});
   }
 }
 
@@ -51,7 +53,8 @@
     rest.remove_prefix(std::min(rest.size(), kMostMessage));
   }
   if (!sent || !SendMessage(socket.get(), Kind::kEnd, "")) {
-    std::fprintf(stderr, "forkwick: could not tell the next version what this one knows\n");
+    LogEvent(LogLevel::kWarn, "handover_failed",
+             {{"text", "could not tell the next version what this one knows"}});
     return;
   }
   next_ = std::make_unique<Link>(io_, std::move(socket));
@@ -82,7 +85,7 @@
   if (message.kind == Kind::kReady && !succeeded_) {
     succeeded_ = true;
     server_.Close();
-    std::fprintf(stderr, "forkwick: the next version serves\n");
+    LogEvent(LogLevel::kInfo, "succeeded", {{"text", "the next version serves"}});
     handlers_.succeeded();
     TellHeld();
   } else if (message.kind == Kind::kOut || message.kind == Kind::kBack) {
@@ -95,7 +98,7 @@
 void Succession::NextEnded() {
   next_.reset();
   if (!std::exchange(succeeded_, false)) return;
-  std::fprintf(stderr, "forkwick: the next version has ended; this one serves again\n");
+  LogEvent(LogLevel::kWarn, "abandoned", {{"text", "the next version has ended; this one serves again"}});
   tell_.cancel();
   handlers_.abandoned();
   server_.Listen();
@@ -128,4 +131,4 @@
   if (link != nullptr) link->Send(out ? Kind::kOut : Kind::kBack, host);
 }
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
--- a/src/gateway/succession.hpp
+++ b/src/operations/succession.hpp
@@ -1,6 +1,6 @@
 // A gateway's part in a change of version: it follows the process before it, and gives way to the next one.
-#ifndef OPALSWITCH_GATEWAY_SUCCESSION_HPP_
-#define OPALSWITCH_GATEWAY_SUCCESSION_HPP_
+#ifndef MEADOWYARD_SUCCESSION_HPP_
+#define MEADOWYARD_SUCCESSION_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,9 +11,9 @@
 #include <string>
 #include <string_view>
 
-#include "handover.hpp"
+#include "operations/handover.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
 class Succession {
  public:
@@ -61,6 +61,6 @@
   bool succeeded_ = false;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_SUCCESSION_HPP_
+#endif  // MEADOWYARD_SUCCESSION_HPP_
--- a/src/wire.cpp
+++ b/src/simwire/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simwire/wire.hpp"
 
 #include <charconv>
 #include <cmath>
@@ -6,7 +6,7 @@
 #include <limits>
 #include <utility>
 
-namespace opalswitch::wire {
+namespace meadowyard::wire {
 namespace {
 
 using Parts = std::vector<std::string_view>;
@@ -323,7 +323,7 @@
   }
 }
 
-void Host::Deliver(const opalswitch::Event& event) {
+void Host::Deliver(const meadowyard::Event& event) {
   actions_.clear();
   std::optional<std::string> fault;
   try {
@@ -364,4 +364,4 @@
   body_ += '\n';
 }
 
-}  // namespace opalswitch::wire
+}  // namespace meadowyard::wire
--- a/src/wire.hpp
+++ b/src/simwire/wire.hpp
@@ -1,6 +1,6 @@
-// The quartz-d56c dialect: text lines to opalswitch events, actions to text lines. No decisions.
-#ifndef OPALSWITCH_WIRE_HPP_
-#define OPALSWITCH_WIRE_HPP_
+// The quartz-d56c dialect: text lines to meadowyard events, actions to text lines. No decisions.
+#ifndef MEADOWYARD_WIRE_HPP_
+#define MEADOWYARD_WIRE_HPP_
 
 #include <cstdint>
 #include <map>
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "opalswitch/policy.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::wire {
+namespace meadowyard::wire {
 
 // A line that breaks the dialect; the text names the fault.
 class WireError : public std::runtime_error {
@@ -39,7 +39,7 @@
  private:
   void Event(const std::vector<std::string_view>& parts);
   void Create(const std::vector<std::string_view>& parts);
-  void Deliver(const opalswitch::Event& event);
+  void Deliver(const meadowyard::Event& event);
   void Print(const Action& action);
 
   double now_ = 0;
@@ -56,6 +56,6 @@
   std::string reply_;
 };
 
-}  // namespace opalswitch::wire
+}  // namespace meadowyard::wire
 
-#endif  // OPALSWITCH_WIRE_HPP_
+#endif  // MEADOWYARD_WIRE_HPP_
--- /dev/null
+++ b/src/upstream/answer_reader.cpp
@@ -0,0 +1,175 @@
+#include "upstream/answer_reader.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+#include "http/messages.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr int kMostInterim = 8;  // 1xx answers ahead of the final one
+
+// Only 503 and 504 with Srv-Declined prove that a request never ran.
+template <typename Head>
+Result ToResult(const Head& response) {
+  const http::status status = response.result();
+  if (status == http::status::ok) return Result::kServed;
+  const bool declines =
+      status == http::status::service_unavailable || status == http::status::gateway_timeout;
+  return declines && response["Srv-Declined"] == "1" ? Result::kRejected : Result::kError;
+}
+
+}  // namespace
+
+// The rest of a long answer, for whoever passes it on. It outlives the connection's part in it.
+struct AnswerReader::Stream : BodySource {
+  Stream(AnswerReader& from, std::optional<std::uint64_t> size)
+      : reader(&from), owner(from.handlers_.owner()), executor(from.socket_.get_executor()), total(size) {}
+  void Ask(Take take) override {
+    asked = true;
+    const auto held = owner.lock();
+    if (!end && held) return reader->ReadOn(std::move(take));
+    asio::post(executor, [next = end.value_or(Next::kBroken), take = std::move(take)] { take(next, {}); });
+  }
+  void Abandon() override {
+    const auto held = owner.lock();
+    if (!end && held) reader->handlers_.abandoned();
+  }
+  std::optional<std::uint64_t> length() const override { return total; }
+  bool begun() const override { return asked; }
+
+  AnswerReader* const reader;  // while its owner lives
+  const std::weak_ptr<void> owner;
+  boost::asio::ip::tcp::socket::executor_type executor;
+  const std::optional<std::uint64_t> total;
+  std::optional<Next> end;  // once the connection has no more part in it
+  bool asked = false;
+};
+
+void AnswerReader::Read() {
+  interim_ = 0;
+  body_.clear();
+  ReadHead();
+}
+
+void AnswerReader::Reset() {
+  ++turn_;
+  EndStream(BodySource::Next::kBroken);
+}
+
+void AnswerReader::Rest() {
+  parser_.reset();
+  if (buffer_.capacity() > 4096) buffer_.shrink_to_fit();
+}
+
+void AnswerReader::ReadHead() {
+  parser_.emplace();
+  parser_->body_limit(kMostStream);
+  parser_->header_limit(kMostHeader);
+  http::async_read_header(socket_, buffer_, *parser_,
+                          [this, owner = handlers_.owner(), turn = turn_](error_code ec, std::size_t) {
+                            if (turn_ == turn) HeadRead(ec);
+                          });
+}
+
+void AnswerReader::HeadRead(error_code ec) {
+  if (ec) return handlers_.failed(Result::kReset);
+  const auto& head = parser_->get();
+  if (head.result_int() / 100 == 1) {  // by number: the library has no name for all of them
+    if (++interim_ > kMostInterim || head.result() == http::status::switching_protocols) {
+      return handlers_.failed(Result::kReset);
+    }
+    return ReadHead();
+  }
+  const auto length = parser_->content_length();
+  if (FramingOf(head) != Framing::kDelimited || (length && *length > kMostStream)) {
+    return handlers_.failed(Result::kReset);
+  }
+  keep_alive_ = head.keep_alive();
+  if (parser_->is_done()) return handlers_.received(ToResult(head), TakeReply(), keep_alive_);
+  ReadBody();
+}
+
+// A piece of the body into `piece_`; `then` is given the error, if it is one, and the piece.
+template <typename Then>
+void AnswerReader::ReadPiece(Then then) {
+  piece_.resize(kPiece);
+  parser_->get().body() = {piece_.data(), piece_.size(), true};
+  http::async_read_some(socket_, buffer_, *parser_,
+                        [this, owner = handlers_.owner(), turn = turn_, then](error_code ec, std::size_t) {
+                          if (turn_ != turn) return;
+                          if (ec == http::error::need_buffer) ec = {};
+                          then(ec, std::string_view(piece_.data(), kPiece - parser_->get().body().size));
+                        });
+}
+
+// A short answer is judged once it is whole; a long one is passed on from its first piece.
+void AnswerReader::ReadBody() {
+  ReadPiece([this](error_code ec, std::string_view piece) {
+    if (ec) return handlers_.failed(Result::kReset);
+    body_.append(piece);
+    const Result result = ToResult(parser_->get());
+    if (parser_->is_done() && body_.size() <= kMostBody) {
+      return handlers_.received(result, TakeReply(), keep_alive_);
+    }
+    if (body_.size() <= kMostBody && parser_->content_length().value_or(0) <= kMostBody) return ReadBody();
+    if (result != Result::kServed) return handlers_.failed(result);  // nobody wants the rest of it
+    BeginStream();
+  });
+}
+
+Reply AnswerReader::TakeReply() {
+  Reply reply;
+  const auto& head = parser_->get();
+  reply.fields = EndToEnd(head);
+  reply.load_report = reply.fields.Get("Srv-Load");
+  if (!reply.load_report.empty()) reply.fields.Erase("Srv-Load");
+  reply.body = std::exchange(body_, {});
+  piece_ = {};
+  return reply;
+}
+
+void AnswerReader::BeginStream() {
+  std::optional<std::uint64_t> length;
+  if (const auto told = parser_->content_length()) length = *told;
+  const auto stream = stream_ = std::make_shared<Stream>(*this, length);
+  handlers_.awaits_host(false);
+  const auto owner = handlers_.owner();  // who is told may abandon it
+  handlers_.begun(TakeReply(), stream);
+  if (stream_ == stream && parser_->is_done()) {
+    EndStream(BodySource::Next::kWhole);
+    handlers_.streamed(keep_alive_);
+  }
+}
+
+void AnswerReader::ReadOn(BodySource::Take take) {
+  ask_ = std::move(take);
+  handlers_.awaits_host(true);
+  ReadPiece([this](error_code ec, std::string_view piece) {
+    if (!ask_) return;
+    if (ec) return handlers_.failed(Result::kReset);
+    handlers_.awaits_host(false);  // the client may take its time now
+    const auto take = std::exchange(ask_, nullptr);
+    const std::string text(piece);  // the connection may go on to other work
+    if (parser_->is_done()) {
+      EndStream(BodySource::Next::kWhole);
+      handlers_.streamed(keep_alive_);
+    }
+    if (!text.empty()) return take(BodySource::Next::kPiece, text);
+    stream_ ? ReadOn(take) : take(BodySource::Next::kWhole, {});
+  });
+}
+
+void AnswerReader::EndStream(BodySource::Next end) {
+  if (stream_) stream_->end = end;
+  stream_.reset();
+  if (const auto take = std::exchange(ask_, nullptr)) take(end, {});
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/upstream/connection.cpp
@@ -0,0 +1,186 @@
+#include "upstream/connection.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <limits>
+#include <utility>
+
+#include "core/clock.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+constexpr double kIdleShare = 1.0 / 3;  // part of the hosts' idle limit after which a connection is closed
+constexpr Millis kStreamPause = 10000;  // longest time without any byte, of a body that is passed on
+constexpr Millis kNoEnd = std::numeric_limits<Millis>::infinity();
+
+}  // namespace
+
+HostPool::Connection::Connection(HostPool& pool, std::string host, tcp::endpoint address)
+    : pool_(pool),
+      host_(std::move(host)),
+      address_(address),
+      socket_(pool.io_),
+      timer_(pool.io_),
+      writer_(socket_, {[this] { return shared_from_this(); }, [this] { Written(); },
+                        [this] { End(Result::kConnectFailed); }, [this] { Arm(Now() + kStreamPause); },
+                        [this] { Disarm(); }}),
+      reader_(socket_, {[this] { return shared_from_this(); },
+                        [this](Result result, Reply reply, bool keep_alive) {
+                          Release(keep_alive);
+                          Finish(result, std::move(reply));
+                        },
+                        [this](Reply reply, std::shared_ptr<BodySource> rest) {
+                          job_->begun(std::move(reply), std::move(rest));
+                        },
+                        [this](bool keep_alive) {
+                          Release(keep_alive);
+                          Finish(Result::kServed, {});
+                        },
+                        [this](bool waiting) { waiting ? Arm(Now() + kStreamPause) : Disarm(); },
+                        [this] { End(Result::kCancelled); }, [this](Result result) { End(result); }}) {}
+
+bool HostPool::Connection::Open() {
+  error_code ec;
+  socket_.open(address_.protocol(), ec);
+  if (ec) return false;
+  socket_.set_option(tcp::no_delay(true), ec);
+  ++pool_.connections_;
+  open_ = true;
+  return true;
+}
+
+bool HostPool::Connection::Assign(int fd) {
+  error_code ec;
+  socket_.assign(address_.protocol(), fd, ec);
+  if (ec) return false;
+  socket_.non_blocking(true, ec);
+  ++pool_.connections_;
+  open_ = true;
+  return !ec && Fresh();
+}
+
+bool HostPool::Connection::Pass() { return Fresh() && pool_.pass_(host_, address_, socket_.native_handle()); }
+
+void HostPool::Connection::Dial(Job job) {
+  Take(std::move(job));
+  Arm(std::min(job_->deadline, Now() + pool_.limits_.dial_timeout));
+  socket_.async_connect(address_, [this, self = shared_from_this()](error_code ec) {
+    if (open_) Dialled(ec);
+  });
+}
+
+void HostPool::Connection::Run(Job job) {
+  Take(std::move(job));
+  Arm(job_->deadline);
+  Write();
+}
+
+bool HostPool::Connection::Fresh() {
+  char byte = 0;
+  return open_ && !reader_.Unasked() &&
+         ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HostPool::Connection::End(Result result) {
+  Close();
+  writer_.Reset();
+  reader_.Reset();
+  Finish(result, {});
+}
+
+void HostPool::Connection::Close() {
+  if (!std::exchange(open_, false)) return;
+  --pool_.connections_;
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void HostPool::Connection::Idle() {
+  if (pool_.pass_ && Pass()) return Close();
+  writer_.Reset();
+  reader_.Rest();
+  rested_at_ = Now();
+  Arm(rested_at_ + pool_.limits_.idle_timeout * kIdleShare);
+  socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this(), turn = ++turn_](error_code) {
+    if (!open_ || turn_ != turn) return;
+    pool_.Forget(host_, this);
+    Close();
+  });
+  pool_.hosts_[host_].idle.push_back(shared_from_this());
+}
+
+void HostPool::Connection::Take(Job job) {
+  job_ = std::move(job);
+  ++turn_;  // the wait of an idle connection means nothing any more
+  pool_.active_[job_->attempt] = shared_from_this();
+}
+
+void HostPool::Connection::Finish(Result result, Reply reply) {
+  if (!job_) return;
+  const Job job = *std::exchange(job_, std::nullopt);
+  pool_.active_.erase(job.attempt);
+  job.done(result, std::move(reply));
+}
+
+// Most jobs end long before they are due: a timer that waits for less long than the new time is left alone,
+// and set again when it fires.
+void HostPool::Connection::Arm(Millis until) {
+  due_ = until;
+  if (waits_ > 0 && waits_ <= until) return;
+  waits_ = until;
+  timer_.expires_after(Span(until - Now()));
+  timer_.async_wait([this, self = shared_from_this()](error_code ec) {
+    if (ec || !open_) return;
+    waits_ = 0;
+    TimeUp();
+  });
+}
+
+void HostPool::Connection::Disarm() { due_ = kNoEnd; }
+
+void HostPool::Connection::TimeUp() {
+  if (due_ == kNoEnd) return;
+  if (Now() < due_ - 0.5) return Arm(due_);
+  if (!job_) {
+    pool_.Forget(host_, this);
+    return Close();
+  }
+  if (reader_.streams()) return End(Result::kReset);
+  End(writer_.WrittenWhole() ? Result::kTimedOut : Result::kConnectFailed);
+}
+
+void HostPool::Connection::Dialled(error_code ec) {
+  if (ec) return End(Result::kConnectFailed);
+  // The dial took time: the host may have begun to drain, or may have moved.
+  if (!pool_.MayUse(host_, address_)) return End(Result::kNotSent);
+  Arm(job_->deadline);
+  Write();
+}
+
+void HostPool::Connection::Write() {
+  const auto call = std::exchange(job_->call, nullptr);
+  writer_.Write(*call, job_->rest, job_->rest ? job_->patience : job_->deadline - Now());
+}
+
+void HostPool::Connection::Written() {
+  if (job_->rest) Arm(job_->deadline = Now() + job_->patience);
+  job_->rest.reset();
+  job_->written();
+  reader_.Read();
+}
+
+void HostPool::Connection::Release(bool keep_alive) {
+  const bool reusable = keep_alive && Fresh() && pool_.MayUse(host_, address_);
+  reusable ? Idle() : Close();
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/upstream/host_pool.cpp
@@ -0,0 +1,139 @@
+#include "upstream/host_pool.hpp"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "core/clock.hpp"
+#include "upstream/connection.hpp"
+
+namespace meadowyard {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+}  // namespace
+
+HostPool::HostPool(asio::io_context& io, Limits limits, Handlers handlers)
+    : io_(io), limits_(limits), handlers_(std::move(handlers)) {}
+
+void HostPool::Rest(const std::string& host) {
+  if (const auto found = hosts_.find(host); found != hosts_.end()) CloseIdle(found->second);
+}
+
+void HostPool::SetTimes(Millis dial_timeout, Millis idle_timeout) {
+  limits_.dial_timeout = dial_timeout;
+  limits_.idle_timeout = idle_timeout;
+}
+
+void HostPool::Update(const HostList& list) {
+  if (list.complete) {
+    for (auto& [id, host] : hosts_) host.up = false;
+  }
+  for (const Host& entry : list.hosts) {
+    HostState& host = hosts_[entry.server.id];
+    host.up = entry.server.state == ServerState::kUp;
+    if (host.address != entry.address) CloseIdle(host);
+    host.address = entry.address;
+  }
+  for (auto& [id, host] : hosts_) {
+    if (!host.up) CloseIdle(host);
+  }
+  std::erase_if(hosts_, [](const auto& entry) { return !entry.second.up; });
+}
+
+std::uint64_t HostPool::Start(const std::string& host, Errand errand) {
+  const std::uint64_t attempt = next_attempt_++;
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end() || Now() >= errand.deadline) {
+    errand.done(Result::kNotSent, {});
+    return attempt;
+  }
+  const Millis patience = errand.deadline - Now();
+  Connection::Job job{std::move(errand), attempt, patience};
+  auto& idle = found->second.idle;
+  while (!idle.empty()) {
+    const auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->Fresh()) {
+      connection->Run(std::move(job));
+      return attempt;
+    }
+    connection->Close();
+  }
+  if (connections_ >= limits_.connections && !EvictIdle()) {
+    job.done(Result::kNotSent, {});
+    return attempt;
+  }
+  const auto connection = std::make_shared<Connection>(*this, host, found->second.address);
+  if (connection->Open()) {
+    connection->Dial(std::move(job));
+  } else {
+    job.done(Result::kNotSent, {});
+  }
+  return attempt;
+}
+
+void HostPool::Cancel(std::uint64_t attempt) {
+  const auto found = active_.find(attempt);
+  if (found == active_.end()) return;
+  const auto connection = found->second;  // End takes it out of the map
+  connection->End(Result::kCancelled);
+}
+
+void HostPool::PassIdle(Pass pass) {
+  pass_ = std::move(pass);
+  if (!pass_) return;
+  for (auto& [id, host] : hosts_) {
+    std::erase_if(host.idle, [](const auto& connection) {
+      if (!connection->Pass()) return false;
+      connection->Close();
+      return true;
+    });
+  }
+}
+
+void HostPool::Adopt(const std::string& host, const tcp::endpoint& address, int fd) {
+  if (connections_ >= limits_.connections || !MayUse(host, address)) {
+    ::close(fd);
+    return;
+  }
+  const auto connection = std::make_shared<Connection>(*this, host, address);
+  if (connection->Assign(fd)) {
+    connection->Idle();
+  } else {
+    connection->Close();
+  }
+}
+
+void HostPool::CloseIdle(HostState& host) {
+  for (const auto& connection : std::exchange(host.idle, {})) connection->Close();
+}
+
+// Makes room by closing the connection that has been idle for longest. Each host's are in that order.
+bool HostPool::EvictIdle() {
+  HostState* oldest = nullptr;
+  for (auto& [id, host] : hosts_) {
+    if (host.idle.empty()) continue;
+    if (oldest == nullptr || host.idle.front()->rested_at() < oldest->idle.front()->rested_at())
+      oldest = &host;
+  }
+  if (oldest == nullptr) return false;
+  oldest->idle.front()->Close();
+  oldest->idle.erase(oldest->idle.begin());
+  return true;
+}
+
+bool HostPool::MayUse(const std::string& host, const tcp::endpoint& address) const {
+  const auto found = hosts_.find(host);
+  return found != hosts_.end() && found->second.address == address && handlers_.may_use(host);
+}
+
+void HostPool::Forget(const std::string& host, const Connection* connection) {
+  const auto found = hosts_.find(host);
+  if (found == hosts_.end()) return;
+  std::erase_if(found->second.idle, [&](const auto& other) { return other.get() == connection; });
+}
+
+}  // namespace meadowyard
--- a/src/gateway/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -1,6 +1,6 @@
 // Connections to hosts: one request on each at a time, the most recently used first.
-#ifndef OPALSWITCH_GATEWAY_HOST_POOL_HPP_
-#define OPALSWITCH_GATEWAY_HOST_POOL_HPP_
+#ifndef MEADOWYARD_HOST_POOL_HPP_
+#define MEADOWYARD_HOST_POOL_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,24 +13,19 @@
 #include <unordered_map>
 #include <vector>
 
-#include "body_source.hpp"
-#include "discovery.hpp"
-#include "http_types.hpp"
-#include "opalswitch/policy.hpp"
+#include "core/upstream.hpp"
+#include "discovery/discovery.hpp"
+#include "meadowyard/policy.hpp"
 
-namespace opalswitch::gateway {
+namespace meadowyard {
 
-class HostPool {
+class HostPool : public Upstream {
  public:
   struct Limits {
     Millis dial_timeout = 250;
     Millis idle_timeout = 15000;    // hosts close connections that stood idle for this long
     std::size_t connections = 256;  // over all hosts
   };
-  // How an attempt ended; the answer is that of the host, if there was one. Called once for each Start,
-  // perhaps before Start returns.
-  using Done = std::function<void(Result, HttpResponse)>;
-
   struct Handlers {
     std::function<bool(const std::string& host)> may_use;  // asked again once a dial has taken its time
   };
@@ -44,21 +39,10 @@
   // Hosts' time-outs as the settings have them now.
   void SetTimes(Millis dial_timeout, Millis idle_timeout);
 
-  // What is sent, and who is told of its course.
-  struct Errand {
-    std::shared_ptr<const HttpRequest> request;
-    std::shared_ptr<BodySource> rest;       // of its body, where that is still coming
-    Millis deadline = 0;                    // of the whole attempt; with a rest, as long after that is whole
-    std::function<void()> written = [] {};  // it was written whole
-    // Its answer is a long one: the head with the first piece of the body, and the rest. `done` still
-    // follows.
-    std::function<void(HttpResponse, std::shared_ptr<BodySource>)> begun;
-    Done done;
-  };
   // Sends the request unless the host is not to be used any more. Returns a number for Cancel.
-  std::uint64_t Start(const std::string& host, Errand errand);
+  std::uint64_t Start(const std::string& host, Errand errand) override;
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
-  void Cancel(std::uint64_t attempt);
+  void Cancel(std::uint64_t attempt) override;
 
   // Idle connections, those that are now and those that will be, go to `pass` instead of back to the pool;
   // what it doesn't take is kept. Null: they are kept again.
@@ -94,6 +78,6 @@
   std::uint64_t next_attempt_ = 1;
 };
 
-}  // namespace opalswitch::gateway
+}  // namespace meadowyard
 
-#endif  // OPALSWITCH_GATEWAY_HOST_POOL_HPP_
+#endif  // MEADOWYARD_HOST_POOL_HPP_
