Begin the lab: stand-in fleet, open-loop load, links, experiments and a referee

Nothing could be run here but against borrowed tools: a newcomer had no hosts and no discovery. The lab has stand-in hosts and discovery in a process of their own, open-loop load drawn from a seed or read from a trace, relays that are poor links, real gateway processes, a referee that believes only clients and hosts, and reports.

--- /dev/null
+++ b/src/lab/fleet.hpp
@@ -0,0 +1,81 @@
+// The stand-in fleet with its discovery, and the script of troubles that befall them.
+#ifndef MEADOWYARD_LAB_FLEET_HPP_
+#define MEADOWYARD_LAB_FLEET_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/discovery_stand_in.hpp"
+#include "lab/host.hpp"
+#include "lab/random.hpp"
+#include "lab/records.hpp"
+#include "lab/spec.hpp"
+
+namespace meadowyard::lab {
+
+class Fleet {
+ public:
+  // All hosts listen and discovery answers by the time it returns; `seed` decides whom troubles hit.
+  Fleet(boost::asio::io_context& io, const Experiment& experiment, std::uint64_t seed);
+
+  std::vector<std::string> discovery() const { return discovery_.addresses(); }  // one a gateway
+  std::vector<std::string> hosts() const;
+  nlohmann::json List() const { return discovery_.List(); }
+  // The script's time begins at `start` of Clock().
+  void Begin(Millis start);
+  const FleetLedger& ledger() const { return ledger_; }
+
+ private:
+  struct Place {
+    std::unique_ptr<StandInHost> host;
+    DiscoveryStandIn::Member member;
+  };
+
+  void Add(const KindSpec& kind, const std::string& hall, bool known);
+  std::vector<int> Victims(const Trouble& trouble, Random& random) const;
+  void Befall(const Trouble& trouble, std::size_t number);
+  void After(Millis wait, std::function<void()> then);
+  void Tell(int host, const std::string& phase);
+  void Restarted(int host);
+  void Flap(int host, Millis until);
+  void Replace(int host);
+
+  boost::asio::io_context& io_;
+  const Experiment experiment_;
+  const std::uint64_t seed_;
+  Random random_;
+  FleetLedger ledger_;
+  DiscoveryStandIn discovery_;
+  std::vector<Place> places_;
+};
+
+// A fleet in a process of its own. Ends with the process that started it.
+class FleetProcess {
+ public:
+  FleetProcess(const Experiment& experiment, std::uint64_t seed);
+  ~FleetProcess();
+  FleetProcess(const FleetProcess&) = delete;
+  FleetProcess& operator=(const FleetProcess&) = delete;
+
+  const std::vector<std::string>& discovery() const { return discovery_; }
+  const std::vector<std::string>& hosts() const { return hosts_; }
+  const nlohmann::json& list() const { return list_; }
+  void Begin(Millis start);
+  // Ends it and gives what it wrote down.
+  FleetLedger Finish();
+  int pid() const { return pid_; }
+
+ private:
+  std::string ReadLine();
+  int pid_ = -1, link_ = -1;
+  std::string read_;
+  std::vector<std::string> discovery_, hosts_;
+  nlohmann::json list_;
+};
+
+}  // namespace meadowyard::lab
+
+#endif  // MEADOWYARD_LAB_FLEET_HPP_
--- a/src/lab/host_model.hpp
+++ b/src/lab/host_model.hpp
@@ -1,5 +1,6 @@
-// A host's insides, without I/O: cores shared by the requests in work, a waiting room, cold starts and falling
-// over, keys that it is warm for, and what is done to it. Time is told with every call and never runs backwards.
+// A host's insides, without I/O: cores shared by the requests in work, a waiting room, cold starts and
+// falling over, keys that it is warm for, and what is done to it. Time is told with every call and never runs
+// backwards.
 #ifndef MEADOWYARD_LAB_HOST_MODEL_HPP_
 #define MEADOWYARD_LAB_HOST_MODEL_HPP_
 
--- /dev/null
+++ b/src/lab/lab_main.cpp
@@ -0,0 +1,278 @@
+// meadowyard-lab: a stand-in fleet, open-loop load, poor links, and experiments with real gateways.
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "lab/compare.hpp"
+#include "lab/cost.hpp"
+#include "lab/experiment.hpp"
+#include "lab/faulty_gateway.hpp"
+#include "lab/fleet.hpp"
+#include "lab/relay.hpp"
+#include "lab/report.hpp"
+#include "lab/verify.hpp"
+
+namespace {
+
+namespace lab = meadowyard::lab;
+
+struct Options {
+  std::string file, second, json, html, keep, fault = "none", folder = ".";
+  std::vector<std::string> targets;
+  std::optional<std::uint64_t> seed;
+  std::uint64_t from_seed = 1;
+  int pairs = 5;
+  double rate = 20000, seconds = 30;
+  lab::CostOptions cost;
+  bool quiet = false;
+};
+
+void Write(const std::string& path, const std::string& text) {
+  if (path.empty()) return;
+  std::ofstream stream(path);
+  stream << text;
+  if (!stream.flush()) throw std::runtime_error("can't write " + path);
+}
+
+lab::PlayOptions PlayOptionsOf(const Options& o, const std::string& name) {
+  lab::PlayOptions play;
+  play.keep = o.keep;
+  if (!o.quiet) {
+    play.progress = [name](const lab::Progress& p) {
+      std::fprintf(stderr, "%s: %.0f s, %zu of %zu requests sent, %zu open\n", name.c_str(), p.seconds,
+                   p.sent, p.all, p.open);
+    };
+  }
+  return play;
+}
+
+// 0: valid and within the rules; 1: not; 3: interrupted.
+int Tell(const Options& o, const lab::Run& run) {
+  const lab::Report report = lab::MakeReport(run);
+  std::fputs(lab::ToText(report).c_str(), stdout);
+  Write(o.json, lab::ToJson(report).dump(2) + "\n");
+  Write(o.html, lab::ToHtml(report));
+  if (run.interrupted) return 3;
+  return report.valid && lab::Clean(report.findings) ? 0 : 1;
+}
+
+int RunExperiment(const Options& o) {
+  const lab::Experiment e = lab::ReadExperiment(o.file);
+  return Tell(o, lab::Play(e, o.seed.value_or(e.seed), PlayOptionsOf(o, e.name)));
+}
+
+int RunLoad(const Options& o) {
+  const lab::Experiment e = lab::ReadExperiment(o.file);
+  return Tell(o, lab::PlayLoad(e, o.seed.value_or(e.seed), o.targets, PlayOptionsOf(o, e.name)));
+}
+
+int RunSchedule(const Options& o) {
+  const lab::Experiment e = lab::ReadExperiment(o.file);
+  std::vector<std::string> remarks;
+  const auto arrivals = lab::MakeSchedule(e, o.seed.value_or(e.seed), remarks);
+  for (const std::string& remark : remarks) std::fprintf(stderr, "note: %s\n", remark.c_str());
+  std::fputs(lab::ScheduleText(e, arrivals).c_str(), stdout);
+  return 0;
+}
+
+// The fleet in the foreground, with a configuration for each gateway that somebody else starts.
+int RunFleet(const Options& o) {
+  const lab::Experiment e = lab::ReadExperiment(o.file);
+  const std::uint64_t seed = o.seed.value_or(e.seed);
+  boost::asio::io_context io(1);
+  lab::Fleet fleet(io, e, seed);
+  std::filesystem::create_directories(o.folder);
+  for (int g = 0; g < e.gateways.count; ++g) {
+    const std::string path = fmt::format("{}/gateway{}.json", o.folder, g);
+    Write(path,
+          nlohmann::json{{"name", fmt::format("g{}", g)},
+                         {"listen", lab::FreeAddress()},
+                         {"admin", lab::FreeAddress()},
+                         {"discovery", fleet.discovery()[static_cast<std::size_t>(g)]},
+                         {"seed", fmt::format("{:x}", seed)},
+                         {"limits", {{"memory_mb", e.gateways.memory_mb}, {"sockets", e.gateways.sockets}}},
+                         {"known", fleet.List()},
+                         {"settings", lab::GatewaySettings(e, g)}}
+              .dump(2));
+    std::printf("NODE_CONFIG=%s meadowyard serve\n", path.c_str());
+  }
+  std::printf("%zu hosts and discovery are up, seed %llu; troubles begin now; end with Ctrl-C\n",
+              fleet.hosts().size(), static_cast<unsigned long long>(seed));
+  std::fflush(stdout);
+  fleet.Begin(lab::Clock());
+  boost::asio::signal_set ends(io, SIGINT, SIGTERM);
+  ends.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
+  io.run();
+  std::printf("%zu attempts reached the hosts\n", fleet.ledger().executions.size());
+  return 0;
+}
+
+int RunCompare(const Options& o) {
+  const lab::Experiment a = lab::ReadExperiment(o.file), b = lab::ReadExperiment(o.second);
+  std::vector<double> goodput[2], worst[2], p99[2];
+  bool good = true;
+  for (int i = 0; i < o.pairs; ++i) {
+    const std::uint64_t seed = o.from_seed + static_cast<std::uint64_t>(i);
+    for (int k = 0; k < 2; ++k) {
+      const int which = (i + k) % 2;  // who goes first takes turns
+      const lab::Experiment& e = which == 0 ? a : b;
+      const lab::Run run =
+          lab::Play(e, seed, PlayOptionsOf(o, fmt::format("pair {} of {}, {}", i + 1, o.pairs, e.name)));
+      const lab::Report report = lab::MakeReport(run);
+      if (run.interrupted) return 3;
+      good = good && report.valid;
+      goodput[which].push_back(100 * report.all.goodput());
+      worst[which].push_back(100 * report.worst_window);
+      p99[which].push_back(report.all.latency.p99);
+      std::printf("seed %llu %s: goodput %.2f%%, worst window %.2f%%, p99 %.1f ms%s%s\n",
+                  static_cast<unsigned long long>(seed), e.file.c_str(), goodput[which].back(),
+                  worst[which].back(), p99[which].back(), report.valid ? "" : ", INVALID",
+                  lab::Clean(report.findings) ? "" : ", rules broken");
+      std::fflush(stdout);
+    }
+  }
+  std::printf("second less first, with 95%% confidence over %d pairs:\n", o.pairs);
+  for (const auto& [name, unit, values] :
+       {std::tuple("goodput", "points", goodput), std::tuple("worst window", "points", worst),
+        std::tuple("p99", "ms", p99)}) {
+    const lab::Difference d = lab::Paired(values[0], values[1]);
+    std::printf("  %-13s %+8.2f +- %.2f %s%s\n", name, d.mean, d.half_width, unit,
+                d.clear() ? "" : " (no clear difference)");
+  }
+  return good ? 0 : 1;
+}
+
+int RunVerify(const Options& o) {
+  bool good = true;
+  std::printf("seed %llu, %.0f s of load each; the three figures must lie within 5%% of theory\n",
+              static_cast<unsigned long long>(o.from_seed), o.seconds);
+  std::printf("%-6s %5s %9s  %21s  %21s  %21s  %6s  %s\n", "queue", "load", "samples",
+              "mean ms: theory, seen", "p50 ms: theory, seen", "p99 ms: theory, seen", "worst",
+              "generator late p99");
+  for (const lab::QueueCase& queue : lab::StandardQueues()) {
+    const lab::QueueResult r = lab::VerifyQueue(queue, o.from_seed, o.seconds);
+    const bool close = r.worst <= 0.05;
+    good = good && close;
+    std::printf("%-6s %5.1f %9zu  %10.2f %10.2f  %10.2f %10.2f  %10.2f %10.2f  %5.1f%%  %.3f ms %s\n",
+                queue.name.c_str(), queue.load, r.samples, r.theory.mean, r.seen.mean, r.theory.p50,
+                r.seen.p50, r.theory.p99, r.seen.p99, 100 * r.worst, r.late_p99, close ? "" : "TOO FAR OFF");
+    std::fflush(stdout);
+  }
+  const lab::FreezeResult f = lab::VerifyFreeze(o.from_seed);
+  const bool late =
+      f.due_within > 0 && static_cast<double>(f.late_enough) >= 0.99 * static_cast<double>(f.due_within);
+  std::printf("freeze of 5 s at 200/s: %zu due within it, %zu (%.1f%%) answered no sooner than its end%s\n",
+              f.due_within, f.late_enough,
+              100.0 * static_cast<double>(f.late_enough) /
+                  static_cast<double>(std::max<std::size_t>(1, f.due_within)),
+              late ? "" : " TOO FEW");
+  std::printf("  p99 from when due %.0f ms; one closed-loop connection would claim %.0f ms\n", f.open_p99,
+              f.closed_p99);
+  return good && late ? 0 : 1;
+}
+
+int RunRate(const Options& o) {
+  const lab::RateResult r = lab::MeasureRate(o.rate, o.seconds, o.from_seed);
+  std::printf(
+      "offered %.0f/s for %.0f s: late by p50 %.3f ms, p99 %.3f ms; %.0f%% of one core; %.2f%% served\n",
+      r.offered, r.seconds, r.late_p50, r.late_p99, 100 * r.cpu_share, 100 * r.served);
+  return 0;
+}
+
+int RunCost(const Options& o) {
+  const lab::CostResult r = lab::MeasureCost(o.cost, o.from_seed);
+  std::printf("%zu GETs on %d kept connections to 4 trivial hosts, closed loop\n", o.cost.requests,
+              o.cost.connections);
+  for (const lab::CostRound& round : r.rounds) {
+    std::printf("  gateway %.1f us of CPU a request, %.2f s; bare relay %.1f us, %.2f s; ratio %.2f\n",
+                round.gateway_us, round.gateway_seconds, round.relay_us, round.relay_seconds,
+                round.relay_us / round.gateway_us);
+  }
+  std::printf("median ratio %.2f; the gateway's CPU was at work for %.0f%% of the time\n", r.ratio,
+              100 * r.limited_by_cpu);
+  std::printf("memory of the process: %.1f KiB an idle connection, %.1f KiB a busy one\n", r.idle_kb,
+              r.busy_kb);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"meadowyard-lab: a stand-in fleet, open-loop load and experiments", "meadowyard-lab"};
+  app.set_version_flag("--version", "meadowyard-lab " MEADOWYARD_VERSION);
+  app.require_subcommand(1);
+  Options o;
+  int (*verb)(const Options&) = nullptr;
+  const auto add = [&](const char* name, const char* about, int (*run)(const Options&)) {
+    auto* const command = app.add_subcommand(name, about);
+    command->callback([&verb, run] { verb = run; });
+    return command;
+  };
+  const auto with_file = [&](CLI::App* command) {
+    command->add_option("FILE", o.file, "the experiment's file")->required();
+    command->add_option("--seed", o.seed, "in place of the file's");
+  };
+  const auto with_report = [&](CLI::App* command) {
+    command->add_option("--json", o.json, "write the report there as JSON");
+    command->add_option("--html", o.html, "write the report there as a page");
+    command->add_flag("--quiet", o.quiet, "no progress");
+  };
+  auto* const run = add("run", "play an experiment with real gateways, and judge it", RunExperiment);
+  with_file(run);
+  with_report(run);
+  run->add_option("--keep", o.keep, "keep the gateways' files and logs in this folder");
+  auto* const fleet = add("fleet", "the stand-in fleet and discovery alone, in the foreground", RunFleet);
+  with_file(fleet);
+  fleet->add_option("--folder", o.folder, "where configurations for gateways are written");
+  auto* const load = add("load", "the load alone, to gateways that are there", RunLoad);
+  with_file(load);
+  with_report(load);
+  load->add_option("--to", o.targets, "addresses and ports")->required()->delimiter(',');
+  with_file(add("schedule", "print what would be asked, a line a request", RunSchedule));
+  auto* const compare =
+      add("compare", "two files on the same seeds: the difference with its confidence", RunCompare);
+  compare->add_option("FIRST", o.file, "an experiment's file")->required();
+  compare->add_option("SECOND", o.second, "another")->required();
+  compare->add_option("--pairs", o.pairs, "how many seeds")->check(CLI::Range(2, 1000));
+  compare->add_option("--seed", o.from_seed, "the first one");
+  compare->add_flag("--quiet", o.quiet, "no progress");
+  auto* const verify = add("verify", "hold the lab against queues whose answers are known", RunVerify);
+  verify->add_option("--seed", o.from_seed, "of the draws");
+  verify->add_option("--seconds", o.seconds, "of load for each queue")->check(CLI::Range(1.0, 3600.0));
+  auto* const rate = add("rate", "the generator alone at a rate, and how late it is", RunRate);
+  rate->add_option("--rate", o.rate, "requests a second")->check(CLI::Range(1.0, 1e6));
+  rate->add_option("--seconds", o.seconds, "how long")->check(CLI::Range(1.0, 600.0));
+  auto* const cost = add("cost", "CPU a request and memory a connection, beside a bare relay", RunCost);
+  cost->add_option("--requests", o.cost.requests, "each round")->check(CLI::Range(100, 10000000));
+  cost->add_option("--connections", o.cost.connections, "kept")->check(CLI::Range(1, 1000));
+  cost->add_option("--repeats", o.cost.repeats, "rounds")->check(CLI::Range(1, 100));
+  cost->add_option("--program", o.cost.program, "the gateway's command");
+  auto* const faulty =
+      add("faulty-gateway", "a gateway that breaks a rule, for the referee's own test", nullptr);
+  faulty->add_option("--fault", o.fault, "duplicate, lose, drain, hold, twice, swap or flood");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  try {
+    if (verb != nullptr) return verb(o);
+    lab::RunFaultyGateway(lab::ParseFault(o.fault));
+    return 0;
+  } catch (const lab::SpecError& error) {
+    std::fprintf(stderr, "meadowyard-lab: %s\n", error.what());
+    return 2;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "meadowyard-lab: %s\n", error.what());
+    return 1;
+  }
+}
--- a/src/lab/random.hpp
+++ b/src/lab/random.hpp
@@ -1,5 +1,5 @@
-// Seeded random numbers that give the same draws on every machine: the generator is PCG (O'Neill 2014), and the
-// distributions are by inversion, for the standard library's differ from one library to the next.
+// Seeded random numbers that give the same draws on every machine: the generator is PCG (O'Neill 2014), and
+// the distributions are by inversion, for the standard library's differ from one library to the next.
 #ifndef MEADOWYARD_LAB_RANDOM_HPP_
 #define MEADOWYARD_LAB_RANDOM_HPP_
 
@@ -21,7 +21,9 @@
   double Exponential(double mean) { return -mean * std::log(Uniform()); }
   bool Chance(double probability) { return Uniform() < probability; }
   std::uint64_t Bits() { return engine_(); }
-  std::size_t Below(std::size_t n) { return static_cast<std::size_t>(Uniform() * static_cast<double>(n)) % n; }
+  std::size_t Below(std::size_t n) {
+    return static_cast<std::size_t>(Uniform() * static_cast<double>(n)) % n;
+  }
 
  private:
   static std::uint64_t Stream(std::string_view purpose) {
--- /dev/null
+++ b/src/lab/records.hpp
@@ -0,0 +1,74 @@
+// What is seen of a run from outside: by the clients, by the hosts and by discovery. The gateway's own word
+// is not among it. Times are Clock()'s.
+#ifndef MEADOWYARD_LAB_RECORDS_HPP_
+#define MEADOWYARD_LAB_RECORDS_HPP_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "meadowyard/policy.hpp"
+
+namespace meadowyard::lab {
+
+// An attempt as it came to a host.
+struct Execution {
+  std::uint64_t id = 0;
+  std::int32_t host = 0;
+  bool unsafe = false;         // by its class
+  Millis first = 0, last = 0;  // of its bytes
+  Millis started = 0;          // its work; 0: never
+  Millis ended = 0;            // 0: not by the end of the run
+  enum class Outcome { kOpen, kAnswered, kError, kDeclined, kDropped, kLost } outcome = Outcome::kOpen;
+};
+
+// Discovery has written to a gateway how a host stands.
+struct Told {
+  Millis at = 0;
+  std::int32_t gateway = 0, host = 0;
+  bool up = true;
+};
+
+struct HostEvent {
+  Millis at = 0;
+  std::int32_t host = 0;
+  std::string what;  // "fell", "crash", "start", "drain", "gone", ...
+};
+
+struct FleetLedger {
+  std::vector<std::string> hosts;  // their ids
+  std::vector<Execution> executions;
+  std::vector<Told> told;
+  std::vector<HostEvent> events;
+  std::uint64_t connections = 0, most_connections = 0, probes = 0, bad_requests = 0, discovery_calls = 0;
+};
+
+// A client's try, from when it was due.
+struct Try {
+  std::uint32_t arrival = 0;
+  std::uint16_t number = 0;  // 0: the first
+  std::int16_t gateway = -1;
+  std::uint64_t id = 0;
+  Millis due = 0, sent = 0, ended = 0;  // sent: its last byte left; 0: never
+  Millis first = 0;                     // first byte of the answer
+  Millis patience = 0;
+  enum class Outcome {
+    kOpen,  // the run ended first
+    kServed,
+    kRefused,    // 429 or 503
+    kFailed,     // any other answer
+    kGaveUp,     // no answer before the client's patience ended
+    kCut,        // the connection ended without a whole answer, though the request was sent whole
+    kNoConnect,  // never sent whole
+    kWrong,      // served with what no host made for it
+    kTwice,      // a second answer to one request
+  } outcome = Outcome::kOpen;
+  int status = 0;
+  Millis retry_after = 0;
+  std::uint32_t answer_bytes = 0;
+};
+const char* Name(Try::Outcome outcome);
+
+}  // namespace meadowyard::lab
+
+#endif  // MEADOWYARD_LAB_RECORDS_HPP_
--- /dev/null
+++ b/src/lab/referee.cpp
@@ -0,0 +1,143 @@
+#include "lab/referee.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace meadowyard::lab {
+namespace {
+
+constexpr Millis kDrainLimit = 1050;  // 50 ms for the way, as on sockets everywhere
+constexpr Millis kSlack = 60;         // for a busy machine's timers
+constexpr Millis kBarelySent = 100;   // a request sent with less time left could not be answered
+constexpr std::size_t kExamples = 3;
+constexpr std::size_t kStreamed = 64 * 1024;  // longer answers go to the client before they are whole
+constexpr Millis kAfterKill = 100;            // ends that a kill explains
+
+class Court {
+ public:
+  explicit Court(const Evidence& e) : e_(e) {
+    for (int i = 0; i < kRules; ++i) findings_.push_back({static_cast<Rule>(i), 0, {}});
+    for (const Try& t : e.tries) tries_.emplace(t.id, &t);
+    for (const Execution& x : e.ledger.executions) runs_[x.id].push_back(&x);
+  }
+
+  std::vector<Finding> Judge() {
+    for (const Try& t : e_.tries) JudgeTry(t);
+    for (auto& [id, runs] : runs_) JudgeRuns(id, runs);
+    JudgeDrains();
+    for (const HostEvent& event : e_.ledger.events) {
+      if (event.what == "fell")
+        Found(Rule::kColdHosts, event.at, "host " + HostName(event.host) + " fell over");
+    }
+    if (e_.ledger.bad_requests > 0) Found(Rule::kKnownRequests, 0, "requests with no usable id");
+    std::sort(findings_.begin(), findings_.end(),
+              [](const auto& a, const auto& b) { return a.rule < b.rule; });
+    return std::move(findings_);
+  }
+
+ private:
+  void Found(Rule rule, Millis at, const std::string& what) {
+    Finding& finding = findings_[static_cast<std::size_t>(rule)];
+    ++finding.count;
+    if (finding.examples.size() < kExamples) {
+      finding.examples.push_back(
+          at > 0 && !e_.tries.empty() ? fmt::format("{} at {:.3f} s", what, (at - Start()) / 1000) : what);
+    }
+  }
+  Millis Start() const { return e_.tries.front().due - e_.arrivals[e_.tries.front().arrival].due; }
+  std::string HostName(int host) const { return e_.ledger.hosts[static_cast<std::size_t>(host)]; }
+  const ClassSpec& ClassOf(const Try& t) const { return e_.experiment.classes[e_.arrivals[t.arrival].cls]; }
+
+  bool Excused(const Try& t) const {
+    return std::any_of(e_.outages.begin(), e_.outages.end(), [&](const Outage& o) {
+      return o.gateway == t.gateway && t.due <= o.to + kAfterKill && t.ended >= o.from - kAfterKill;
+    });
+  }
+
+  void JudgeTry(const Try& t) {
+    const std::string what = fmt::format("{} {:016x}", ClassOf(t).name, t.id);
+    if (t.outcome == Try::Outcome::kTwice) Found(Rule::kOneAnswer, t.ended, what + " answered twice");
+    if (t.outcome == Try::Outcome::kWrong)
+      Found(Rule::kTrueAnswer, t.ended, what + " served with another's answer");
+    const auto runs = runs_.find(t.id);
+    if (t.outcome == Try::Outcome::kServed) {
+      const auto answered = [](const Execution* x) { return x->outcome == Execution::Outcome::kAnswered; };
+      if (runs == runs_.end() || std::none_of(runs->second.begin(), runs->second.end(), answered)) {
+        Found(Rule::kTrueAnswer, t.ended, what + " served, though no host answered it");
+      }
+    }
+    // Over a poor link what the client doesn't see may have been the link's doing.
+    if (e_.experiment.link.on || Excused(t)) return;
+    const bool in_time = t.sent > 0 && t.sent < t.due + t.patience - kBarelySent;
+    if (t.outcome == Try::Outcome::kGaveUp && in_time)
+      Found(Rule::kOneAnswer, t.ended, what + " never answered");
+    if (t.outcome == Try::Outcome::kCut && in_time && ClassOf(t).answer_bytes <= kStreamed) {
+      Found(Rule::kOneAnswer, t.ended, what + " cut off without an answer");
+    }
+    const bool given_up = t.outcome == Try::Outcome::kRefused || t.outcome == Try::Outcome::kFailed;
+    if (given_up && runs == runs_.end() && t.ended - t.sent > t.patience / 2 + kSlack) {
+      Found(Rule::kPrompt, t.ended,
+            fmt::format("{} answered {} unsent after {:.0f} of {:.0f} ms", what, t.status, t.ended - t.sent,
+                        t.patience));
+    }
+  }
+
+  void JudgeRuns(std::uint64_t id, std::vector<const Execution*>& runs) {
+    std::sort(runs.begin(), runs.end(), [](const auto* a, const auto* b) { return a->first < b->first; });
+    if (!tries_.contains(id))
+      return Found(Rule::kKnownRequests, runs.front()->first, fmt::format("{:016x}", id));
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+      const bool may_have_run = runs[i - 1]->outcome != Execution::Outcome::kDeclined;
+      if (runs[i]->unsafe && may_have_run) {
+        Found(Rule::kNoRepeat, runs[i]->first,
+              fmt::format("{:016x} sent to {} after {}", id, HostName(runs[i]->host),
+                          HostName(runs[i - 1]->host)));
+      }
+    }
+  }
+
+  void JudgeDrains() {
+    std::map<std::pair<int, int>, std::vector<const Told*>> told;  // by gateway and host, in time
+    for (const Told& t : e_.ledger.told) told[{t.gateway, t.host}].push_back(&t);
+    for (const Execution& x : e_.ledger.executions) {
+      const auto t = tries_.find(x.id);
+      if (t == tries_.end()) continue;
+      const auto news = told.find({t->second->gateway, x.host});
+      if (news == told.end()) continue;
+      Millis down_since = 0;
+      for (const Told* n : news->second) {
+        if (n->at > x.first) break;
+        down_since = n->up ? 0 : down_since > 0 ? down_since : n->at;
+      }
+      if (down_since > 0 && x.first > down_since + kDrainLimit) {
+        Found(Rule::kDrains, x.first,
+              fmt::format("{:016x} sent to {} {:.0f} ms after it was told", x.id, HostName(x.host),
+                          x.first - down_since));
+      }
+    }
+  }
+
+  const Evidence& e_;
+  std::vector<Finding> findings_;
+  std::unordered_map<std::uint64_t, const Try*> tries_;
+  std::unordered_map<std::uint64_t, std::vector<const Execution*>> runs_;
+};
+
+}  // namespace
+
+const char* Name(Rule rule) {
+  constexpr const char* kNames[] = {"one answer", "true answer", "no repeat",     "drains",
+                                    "cold hosts", "prompt",      "known requests"};
+  return kNames[static_cast<int>(rule)];
+}
+
+std::vector<Finding> Judge(const Evidence& evidence) { return Court(evidence).Judge(); }
+
+bool Clean(const std::vector<Finding>& findings) {
+  return std::all_of(findings.begin(), findings.end(), [](const Finding& f) { return f.count == 0; });
+}
+
+}  // namespace meadowyard::lab
--- a/src/lab/schedule.cpp
+++ b/src/lab/schedule.cpp
@@ -28,7 +28,8 @@
     case LoadShape::Kind::kStep: return shape.factor;
     case LoadShape::Kind::kRamp: return 1 + (shape.factor - 1) * through;
     case LoadShape::Kind::kSine:
-      return std::max(0.0, 1 + (shape.factor - 1) * std::sin(2 * std::numbers::pi * (at - shape.from) / shape.period));
+      return std::max(
+          0.0, 1 + (shape.factor - 1) * std::sin(2 * std::numbers::pi * (at - shape.from) / shape.period));
     case LoadShape::Kind::kSpike: return 1 + (shape.factor - 1) * (1 - std::abs(2 * through - 1));
   }
   return 1;
@@ -46,8 +47,13 @@
 class Details {
  public:
   Details(const Experiment& e, std::uint64_t seed)
-      : e_(e), what_(seed, "what"), keys_(seed, "keys"), work_(seed, "work"), ids_(seed, "ids"),
-        patience_(seed, "patience"), key_of_(Weighted::Zipf(static_cast<std::size_t>(e.load.keys), e.load.zipf)) {
+      : e_(e),
+        what_(seed, "what"),
+        keys_(seed, "keys"),
+        work_(seed, "work"),
+        ids_(seed, "ids"),
+        patience_(seed, "patience"),
+        key_of_(Weighted::Zipf(static_cast<std::size_t>(e.load.keys), e.load.zipf)) {
     std::vector<double> shares;
     for (const ClassSpec& c : e.classes) shares.push_back(c.share);
     classes_ = Weighted(shares);
@@ -78,7 +84,8 @@
     }
     const double drawn = what_.Uniform() * sum;
     const auto found = std::upper_bound(weights_.begin(), weights_.end(), drawn);
-    return static_cast<std::int32_t>(std::min<std::ptrdiff_t>(found - weights_.begin(), std::ssize(weights_) - 1));
+    return static_cast<std::int32_t>(
+        std::min<std::ptrdiff_t>(found - weights_.begin(), std::ssize(weights_) - 1));
   }
   Millis DrawWork(const ClassSpec& c) {
     const double u = work_.Uniform();
@@ -206,8 +213,8 @@
   std::string text;
   for (const Arrival& a : arrivals) {
     text += fmt::format("{:.6f} {:016x} {} {} {} {:.6f} {:.6f} {:.6f}\n", a.due, a.id, e.classes[a.cls].name,
-                        a.tenant < 0 ? "-" : e.tenants[static_cast<std::size_t>(a.tenant)].name, a.key, a.work,
-                        a.hint, a.patience);
+                        a.tenant < 0 ? "-" : e.tenants[static_cast<std::size_t>(a.tenant)].name, a.key,
+                        a.work, a.hint, a.patience);
   }
   return text;
 }
@@ -240,7 +247,8 @@
       if (csv) {
         const auto cells = SplitCsv(line);
         if (cells.size() != head.size()) {
-          throw std::invalid_argument(fmt::format("{} cells where the head line has {}", cells.size(), head.size()));
+          throw std::invalid_argument(
+              fmt::format("{} cells where the head line has {}", cells.size(), head.size()));
         }
         const std::map<std::string, std::string*> places = {
             {"t", &f.time}, {"class", &f.cls}, {"key", &f.key}, {"owner", &f.owner}, {"work_ms", &f.work}};
@@ -252,10 +260,13 @@
       }
       Arrival a;
       a.due = ToNumber(f.time, "t") * 1000;
-      const auto cls = std::find_if(e.classes.begin(), e.classes.end(), [&](const auto& c) { return c.name == f.cls; });
-      if (!f.cls.empty() && cls == e.classes.end()) throw std::invalid_argument("no [[class]] is named '" + f.cls + "'");
+      const auto cls =
+          std::find_if(e.classes.begin(), e.classes.end(), [&](const auto& c) { return c.name == f.cls; });
+      if (!f.cls.empty() && cls == e.classes.end())
+        throw std::invalid_argument("no [[class]] is named '" + f.cls + "'");
       if (!f.cls.empty()) a.cls = static_cast<std::uint32_t>(cls - e.classes.begin());
-      const auto tenant = std::find_if(e.tenants.begin(), e.tenants.end(), [&](const auto& t) { return t.name == f.owner; });
+      const auto tenant =
+          std::find_if(e.tenants.begin(), e.tenants.end(), [&](const auto& t) { return t.name == f.owner; });
       if (tenant != e.tenants.end()) a.tenant = static_cast<std::int32_t>(tenant - e.tenants.begin());
       if (!f.key.empty()) a.key = HashOf(f.key);
       if (!f.work.empty()) a.work = ToNumber(f.work, "work_ms");
@@ -272,7 +283,8 @@
   }
   if (arrivals.empty()) throw SpecError(file + ": no usable line");
   if (!ordered) {
-    std::stable_sort(arrivals.begin(), arrivals.end(), [](const auto& x, const auto& y) { return x.due < y.due; });
+    std::stable_sort(arrivals.begin(), arrivals.end(),
+                     [](const auto& x, const auto& y) { return x.due < y.due; });
   }
   return arrivals;
 }
--- a/src/lab/schedule.hpp
+++ b/src/lab/schedule.hpp
@@ -12,13 +12,13 @@
 namespace meadowyard::lab {
 
 struct Arrival {
-  Millis due = 0;       // since the start
+  Millis due = 0;  // since the start
   std::uint32_t cls = 0;
   std::int32_t tenant = -1;
   std::uint64_t key = 0;
-  Millis work = 0;      // on one core of speed 1
-  Millis hint = -1;     // what the client says of it; below 0: nothing
-  Millis patience = 0;  // until the client gives a try up
+  Millis work = 0;       // on one core of speed 1
+  Millis hint = -1;      // what the client says of it; below 0: nothing
+  Millis patience = 0;   // until the client gives a try up
   std::uint64_t id = 0;  // of the first try
 };
 
@@ -34,8 +34,8 @@
   std::string why;
 };
 // JSON Lines ({"t": seconds, "class": ..., "key": ..., "owner": ..., "work_ms": ...}) or CSV with such a head
-// line, by the first byte. Lines that can't be used are told with their number and left out; times out of order
-// are told and put in order. Throws SpecError if the file can't be read or has no usable line.
+// line, by the first byte. Lines that can't be used are told with their number and left out; times out of
+// order are told and put in order. Throws SpecError if the file can't be read or has no usable line.
 std::vector<Arrival> ReadTrace(const Experiment& experiment, std::uint64_t seed, std::istream& stream,
                                const std::string& file, std::vector<TraceProblem>& problems);
 
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -19,15 +19,22 @@
 
 const std::vector<std::pair<std::string, Trouble::Kind>>& TroubleNames() {
   using K = Trouble::Kind;
-  static const std::vector<std::pair<std::string, K>> names = {
-      {"crash", K::kCrash},       {"slow", K::kSlow},
-      {"errors", K::kErrors},     {"freeze", K::kFreeze},
-      {"hall_dead", K::kHallDead}, {"hall_silent", K::kHallSilent},
-      {"discovery_down", K::kDiscoveryDown}, {"flap", K::kFlap},
-      {"replace", K::kReplace},   {"reset_answers", K::kReset},
-      {"spoil_answers", K::kSpoil}, {"drain", K::kDrain},
-      {"link_cut", K::kLinkCut},  {"gateway_kill", K::kGatewayKill},
-      {"gateway_restart", K::kGatewayRestart}, {"gateway_upgrade", K::kGatewayUpgrade}};
+  static const std::vector<std::pair<std::string, K>> names = {{"crash", K::kCrash},
+                                                               {"slow", K::kSlow},
+                                                               {"errors", K::kErrors},
+                                                               {"freeze", K::kFreeze},
+                                                               {"hall_dead", K::kHallDead},
+                                                               {"hall_silent", K::kHallSilent},
+                                                               {"discovery_down", K::kDiscoveryDown},
+                                                               {"flap", K::kFlap},
+                                                               {"replace", K::kReplace},
+                                                               {"reset_answers", K::kReset},
+                                                               {"spoil_answers", K::kSpoil},
+                                                               {"drain", K::kDrain},
+                                                               {"link_cut", K::kLinkCut},
+                                                               {"gateway_kill", K::kGatewayKill},
+                                                               {"gateway_restart", K::kGatewayRestart},
+                                                               {"gateway_upgrade", K::kGatewayUpgrade}};
   return names;
 }
 
@@ -163,9 +170,10 @@
   s.Number("worth", c.worth, 0, 1e6);
   s.Number("share", c.share, 0, 1e6);
   s.Number("work_ms", c.work, 0, 1e6);
-  s.Choice<WorkShape>("work", c.shape, {{"fixed", WorkShape::kFixed},
-                                        {"exponential", WorkShape::kExponential},
-                                        {"uniform", WorkShape::kUniform}});
+  s.Choice<WorkShape>("work", c.shape,
+                      {{"fixed", WorkShape::kFixed},
+                       {"exponential", WorkShape::kExponential},
+                       {"uniform", WorkShape::kUniform}});
   s.Count("body_bytes", c.body_bytes, 0, 32 << 20);
   s.Count("answer_bytes", c.answer_bytes, 0, 32 << 20);
   e.classes.push_back(c);
@@ -193,7 +201,8 @@
 void ReadLoad(Section& s, Experiment& e) {
   LoadSpec& l = e.load;
   using A = LoadSpec::Arrivals;
-  s.Choice<A>("arrivals", l.arrivals, {{"poisson", A::kPoisson}, {"uniform", A::kUniform}, {"bursts", A::kBursts}});
+  s.Choice<A>("arrivals", l.arrivals,
+              {{"poisson", A::kPoisson}, {"uniform", A::kUniform}, {"bursts", A::kBursts}});
   s.Number("rate", l.rate, 0.001, 1e6);
   s.Count("burst", l.burst, 1, 100000);
   s.Count("keys", l.keys, 1, 10000000);
@@ -262,7 +271,8 @@
   try {
     table = toml::parse(text, file);
   } catch (const toml::parse_error& error) {
-    throw SpecError(file + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()));
+    throw SpecError(file + ":" + std::to_string(error.source().begin.line) + ": " +
+                    std::string(error.description()));
   }
   Experiment e;
   e.file = file;
@@ -331,9 +341,17 @@
   using nlohmann::json;
   json classes = json::array(), tenants = json::array();
   for (const ClassSpec& c : e.classes) {
-    const char* const effect = c.effect == Effect::kSafe ? "pure" : c.effect == Effect::kKeyed ? "token" : "side_effect";
-    classes.push_back({{"name", c.name}, {"sloMs", c.aim}, {"deadlineMs", c.deadline}, {"importance", c.worth},
-                       {"lateWorth", 0.0}, {"idempotency", effect}, {"group", "all"}, {"repeatWindowMs", 10000.0}});
+    const char* const effect = c.effect == Effect::kSafe    ? "pure"
+                               : c.effect == Effect::kKeyed ? "token"
+                                                            : "side_effect";
+    classes.push_back({{"name", c.name},
+                       {"sloMs", c.aim},
+                       {"deadlineMs", c.deadline},
+                       {"importance", c.worth},
+                       {"lateWorth", 0.0},
+                       {"idempotency", effect},
+                       {"group", "all"},
+                       {"repeatWindowMs", 10000.0}});
   }
   for (const TenantSpec& t : e.tenants) tenants.push_back({{"name", t.name}, {"quotaPerS", t.quota_per_s}});
   double cold_from = 1, fall = 0;
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -1,5 +1,6 @@
-// What an experiment's file says: fleet, discovery, gateways, links, load and troubles. Times are milliseconds
-// here and seconds in the file, where a field's name ends in _s; each field is explained in docs/lab.md.
+// What an experiment's file says: fleet, discovery, gateways, links, load and troubles. Times are
+// milliseconds here and seconds in the file, where a field's name ends in _s; each field is explained in
+// docs/lab.md.
 #ifndef MEADOWYARD_LAB_SPEC_HPP_
 #define MEADOWYARD_LAB_SPEC_HPP_
 
@@ -62,8 +63,8 @@
 };
 
 struct DiscoverySpec {
-  Millis delay = 200;     // from a change to when it can be told
-  Millis call_work = 1;   // a call's time at discovery, one after the other
+  Millis delay = 200;       // from a change to when it can be told
+  Millis call_work = 1;     // a call's time at discovery, one after the other
   Millis most_wait = 1000;  // a call that would wait longer in turn fails
 };
 
@@ -86,21 +87,21 @@
   double zipf = 1;
   int retries = 1;  // by clients, of what was refused or failed
   Millis retry_wait = 200;
-  double cost_noise = 0.3;  // of the hint that requests carry; below 0: they carry none
-  std::string trace;        // in place of drawn arrivals
-  bool keep = true;         // connections are kept
-  int connections = 1000;   // open at once at the most
-  double slow_readers = 0;  // share of clients that read at `slow_rate`
+  double cost_noise = 0.3;   // of the hint that requests carry; below 0: they carry none
+  std::string trace;         // in place of drawn arrivals
+  bool keep = true;          // connections are kept
+  int connections = 1000;    // open at once at the most
+  double slow_readers = 0;   // share of clients that read at `slow_rate`
   double slow_rate = 65536;  // bytes a second
-  int closed_loop = 16;     // connections of the closed-loop client that the report compares with
-  Millis most_late = 5;     // p99 of its own lateness past which a run counts for nothing
+  int closed_loop = 16;      // connections of the closed-loop client that the report compares with
+  Millis most_late = 5;      // p99 of its own lateness past which a run counts for nothing
 };
 
 struct LinkSpec {
   bool on = false;
   Millis delay = 0, jitter = 0;
-  double loss = 0;     // of segments, each a stall
-  Millis stall = 200;  // as TCP's first time-out; doubles while a segment goes on being lost
+  double loss = 0;       // of segments, each a stall
+  Millis stall = 200;    // as TCP's first time-out; doubles while a segment goes on being lost
   double bandwidth = 0;  // bytes a second each way; 0: unbounded
   double reset = 0;      // of connections, at a random moment of their first ten seconds
 };
@@ -116,15 +117,29 @@
 
 struct Trouble {
   enum class Kind {
-    kCrash, kSlow, kErrors, kFreeze, kHallDead, kHallSilent, kDiscoveryDown, kFlap, kReplace, kReset, kSpoil,
-    kDrain, kLinkCut, kGatewayKill, kGatewayRestart, kGatewayUpgrade,
+    kCrash,
+    kSlow,
+    kErrors,
+    kFreeze,
+    kHallDead,
+    kHallSilent,
+    kDiscoveryDown,
+    kFlap,
+    kReplace,
+    kReset,
+    kSpoil,
+    kDrain,
+    kLinkCut,
+    kGatewayKill,
+    kGatewayRestart,
+    kGatewayUpgrade,
   };
   Kind kind = Kind::kCrash;
   Millis at = 0, len = 5000;
-  double share = 0.2;   // of the hosts, or of answers spoilt or reset
-  double factor = 5;    // slower by; share of requests that fail
-  std::string hall;     // of the hosts in this one alone
-  int gateway = -1;     // all of them
+  double share = 0.2;  // of the hosts, or of answers spoilt or reset
+  double factor = 5;   // slower by; share of requests that fail
+  std::string hall;    // of the hosts in this one alone
+  int gateway = -1;    // all of them
 };
 const char* Name(Trouble::Kind kind);
 
