--- a/tests/lab_run_test.cpp
+++ b/tests/lab_run_test.cpp
@@ -41,8 +41,8 @@
 halls = ["a", "b"]
 [[fleet.kind]]
 count = 6
-cold_from = 0.1
-cold_for_s = 10
+cold_from = 0.05
+cold_for_s = 60
 fall_multiple = 2.5
 [discovery]
 delay_ms = 50
