--- a/src/lab/host.cpp
+++ b/src/lab/host.cpp
@@ -262,10 +262,10 @@
 }
 
 void StandInHost::Freeze(bool frozen) {
+  Note(frozen ? "freeze" : "thaw");  // first: what was held is answered from now on
   model_.Freeze(Clock(), frozen);
   const std::vector<SeatPtr> all(streams_.begin(), streams_.end());
   for (const SeatPtr& seat : all) seat->stream->Hold(frozen);
-  Note(frozen ? "freeze" : "thaw");
   Pump();
 }
 
--- a/src/lab/lab_main.cpp
+++ b/src/lab/lab_main.cpp
@@ -1,15 +1,18 @@
 // meadowyard-lab: a stand-in fleet, open-loop load, poor links, and experiments with real gateways.
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdio>
+#include <ctime>
 #include <exception>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "lab/compare.hpp"
 #include "lab/cost.hpp"
@@ -26,7 +29,7 @@
 
 struct Options {
   std::string file, second, json, html, keep, fault = "none", folder = ".";
-  std::vector<std::string> targets;
+  std::vector<std::string> targets, files;
   std::optional<std::uint64_t> seed;
   std::uint64_t from_seed = 1;
   int pairs = 5;
@@ -150,6 +153,46 @@
   return good ? 0 : 1;
 }
 
+// A table for the docs: one row an experiment, headed by what it was measured on.
+int RunTable(const Options& o) {
+  std::ifstream cpus("/proc/cpuinfo");
+  std::string line, model = "unknown";
+  while (std::getline(cpus, line)) {
+    if (line.starts_with("model name")) model = line.substr(line.find(':') + 2);
+  }
+  const std::time_t now = std::time(nullptr);
+  std::cout << fmt::format("{:%Y-%m-%d}, {} cores ({})\n\n", fmt::gmtime(now),
+                           std::thread::hardware_concurrency(), model)
+            << "| experiment | seed | requests | goodput | worst 10 s | p50 ms | p99 ms | attempts | CPU us "
+               "a request | most MB "
+               "| rules |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+  bool good = true;
+  for (const std::string& file : o.files) {
+    const lab::Experiment e = lab::ReadExperiment(file);
+    const lab::Run run = lab::Play(e, o.seed.value_or(e.seed), PlayOptionsOf(o, e.name));
+    if (run.interrupted) return 3;
+    const lab::Report r = lab::MakeReport(run);
+    double cpu = 0, peak = 0;
+    for (const lab::GatewayCost& g : r.gateways)
+      cpu += g.usage.cpu_ms, peak = std::max(peak, g.usage.peak_kb / 1024);
+    std::string broken;
+    for (const lab::Finding& f : r.findings) {
+      if (f.count > 0)
+        broken += fmt::format("{}{}: {}", broken.empty() ? "" : ", ", lab::Name(f.rule), f.count);
+    }
+    good = good && r.valid && broken.empty();
+    std::cout
+        << fmt::format(
+               "| {} | {} | {} | {:.1f}% | {:.1f}% | {:.1f} | {:.1f} | {:.2f} | {:.0f} | {:.1f} | {}{} |\n",
+               r.name, r.seed, r.all.asked, 100 * r.all.goodput(), 100 * r.worst_window, r.all.latency.p50,
+               r.all.latency.p99, r.attempts,
+               1000 * cpu / std::max<double>(1, static_cast<double>(r.all.asked)), peak,
+               broken.empty() ? "kept" : broken, r.valid ? "" : " (invalid run)")
+        << std::flush;
+  }
+  return good ? 0 : 1;
+}
+
 int RunVerify(const Options& o) {
   bool good = true;
   std::printf("seed %llu, %.0f s of load each; the three figures must lie within 5%% of theory\n",
@@ -238,6 +281,10 @@
   with_report(load);
   load->add_option("--to", o.targets, "addresses and ports")->required()->delimiter(',');
   with_file(add("schedule", "print what would be asked, a line a request", RunSchedule));
+  auto* const table = add("table", "play experiments and print a row each", RunTable);
+  table->add_option("FILES", o.files, "the experiments' files")->required();
+  table->add_option("--seed", o.seed, "in place of the files'");
+  table->add_flag("--quiet", o.quiet, "no progress");
   auto* const compare =
       add("compare", "two files on the same seeds: the difference with its confidence", RunCompare);
   compare->add_option("FIRST", o.file, "an experiment's file")->required();
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -16,7 +16,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
-constexpr Millis kStep = 5;  // how exactly patience ends
+constexpr Millis kStep = 5;       // how exactly patience ends
+constexpr Millis kSlowStep = 20;  // from piece to piece of a slow body
 
 // The id of a client's further try: another one, that can be told from the first.
 std::uint64_t IdOf(std::uint64_t first, std::uint16_t number) {
@@ -39,6 +40,7 @@
   std::size_t gateway = 0;
   std::size_t now = kNone;   // the try that is out on it
   std::size_t last = kNone;  // the one before
+  bool writing = false;      // more of its body is to follow
   bool resent = false;       // the try that is out was begun on another connection
   std::uint64_t answered = 0;
 };
@@ -218,8 +220,27 @@
   at_[index] = connection;
   const ClassSpec& c = experiment_.classes[arrivals_[t.arrival].cls];
   std::string text = Head(t);
-  if (c.effect != Effect::kSafe) text.append(filler_, 0, c.body_bytes);
+  const bool slow = c.body_bytes > 0 && random_.Chance(experiment_.load.slow_writers);
+  if (c.effect != Effect::kSafe && !slow) text.append(filler_, 0, c.body_bytes);
+  connection->writing = slow;
   connection->stream->Write(text);
+  if (slow) WriteOn(connection, index, 0);
+}
+
+void Load::WriteOn(const ConnectionPtr& connection, std::size_t index, std::size_t from) {
+  if (stopped_ || connection->now != index || !connection->stream->open()) return;
+  const std::size_t all = experiment_.classes[arrivals_[tries_[index].arrival].cls].body_bytes;
+  const auto piece =
+      std::max<std::size_t>(1, static_cast<std::size_t>(experiment_.load.slow_rate * kSlowStep / 1000));
+  const std::size_t n = std::min(piece, all - from);
+  connection->writing = from + n < all;
+  connection->stream->Write(std::string_view(filler_).substr(from, n));
+  if (!connection->writing) return;
+  const auto timer = std::make_shared<asio::steady_timer>(io_, Wait(kSlowStep));
+  timer->async_wait([this, timer, weak = std::weak_ptr(connection), index, next = from + n](error_code ec) {
+    const auto c = weak.lock();
+    if (!ec && c) WriteOn(c, index, next);
+  });
 }
 
 void Load::Got(const ConnectionPtr& connection, ClientStream::Message& message, Millis first, Millis last) {
--- a/src/lab/load.hpp
+++ b/src/lab/load.hpp
@@ -56,6 +56,8 @@
   bool PlaceAt(std::size_t index, std::size_t gateway);
   void Dial(std::size_t index, std::size_t gateway);
   void Write(const ConnectionPtr& connection, std::size_t index);
+  // The body's next piece, of a client that sends slowly.
+  void WriteOn(const ConnectionPtr& connection, std::size_t index, std::size_t from);
   std::string Head(const Try& t) const;
   void Got(const ConnectionPtr& connection, ClientStream::Message& message, Millis first, Millis last);
   void Ended(const ConnectionPtr& connection, ClientStream::End end);
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -214,6 +214,7 @@
   s.Flag("keep", l.keep);
   s.Count("connections", l.connections, 1, 20000);
   s.Number("slow_readers", l.slow_readers, 0, 1);
+  s.Number("slow_writers", l.slow_writers, 0, 1);
   s.Number("slow_rate", l.slow_rate, 1, 1e9);
   s.Count("closed_loop", l.closed_loop, 1, 10000);
   s.Number("most_late_ms", l.most_late, 0.01, 1e6);
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -92,6 +92,7 @@
   bool keep = true;          // connections are kept
   int connections = 1000;    // open at once at the most
   double slow_readers = 0;   // share of clients that read at `slow_rate`
+  double slow_writers = 0;   // and of clients that send their bodies so
   double slow_rate = 65536;  // bytes a second
   int closed_loop = 16;      // connections of the closed-loop client that the report compares with
   Millis most_late = 5;      // p99 of its own lateness past which a run counts for nothing
