--- /dev/null
+++ b/cmake/headers.cpp
@@ -0,0 +1,1 @@
+// Only carries the precompiled headers that CMakeLists.txt lists.
--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -54,7 +54,9 @@
   Millis ask_within = 10000;  // ask mode: longest time without asking
   int max_attempts = 3;
   int most_out = 0;  // attempts out at once that the gateway has room for, over all servers; 0 = any number
-  int streams = 1;   // attempts that one connection to a server carries together
+  int most_held =
+      0;  // requests that one server may be held by (Request::holds), over all of this gateway's; 0 = any
+  int streams = 1;  // attempts that one connection to a server carries together
   bool may_cancel = false;
   double cold_from = 1;        // a started server can do at least this share of its work ...
   Millis cold_for = 0;         // ... and all of it after this long
@@ -78,6 +80,8 @@
   Millis time_left = 0;    // until the client gives this try up
   bool retry = false;      // a client's further try at what it was refused before; only where clients say so
   bool coming = false;     // its body is still on its way: RequestWhole follows, unless it ends before
+  std::string only;        // the one server that it may go to; empty: any
+  bool holds = false;      // from StreamStarted on it holds its server until its Outcome: a tunnel
   // By which the client asked, where the protocol tells; see Policy::admits.
   std::optional<Effect> effect = {};
 };
@@ -106,7 +110,8 @@
   kNotSent,        // the gateway could not send it at all; never ran
 };
 
-// How an attempt ended. Every Send gets exactly one, also after the request is finished.
+// How an attempt ended. Every Send gets exactly one, also after the request is finished. Of one that held its
+// server kReset says that it broke at its very beginning; any other end says nothing of the server.
 struct Outcome {
   std::string request;
   int attempt = 0;  // 0, 1, 2 ... in the order of the request's Sends
@@ -118,6 +123,12 @@
   bool spent = false;        // the gateway has no more of the request's body: it can't be sent again
 };
 
+// A server is held by this many more requests (fewer, below 0) that another process's Policy sent.
+struct Held {
+  std::string server;
+  int more = 1;
+};
+
 // The client has left; nothing is owed for the request any more.
 struct ClientGone {
   std::string request;
@@ -194,7 +205,7 @@
 };
 
 using Event = std::variant<Request, RequestWhole, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews,
-                           ServerOut, ServerBack, SettingsChanged, Recollection>;
+                           ServerOut, ServerBack, SettingsChanged, Recollection, Held>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
--- /dev/null
+++ b/src/app/edge_service.cpp
@@ -0,0 +1,191 @@
+#include "app/edge_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "log/log.hpp"
+
+namespace meadowyard {
+namespace {
+
+// A pool of the file's own has one class, no tenants and nobody else in front of it that is known of.
+Settings PoolSettings(const Settings& platform, const EdgeConfig& config) {
+  Settings s = platform;
+  s.classes = {config.tunnel};
+  s.tenants.clear();
+  s.ask_for_list = false;
+  s.most_out = 0;
+  s.most_held = config.limits.most_per_host;
+  s.report_fields.clear();
+  s.warm_keys = false;
+  s.may_cancel = true;
+  return s;
+}
+
+std::optional<ParentAccess> AccessOf(const std::optional<ParentProxy>& parent) {
+  if (!parent) return std::nullopt;
+  return ParentAccess{parent->protocol == TunnelProtocol::kSocks5, parent->address, parent->user,
+                      parent->password};
+}
+
+HostList ListOf(const EdgePool& pool) {
+  HostList list;
+  list.hosts = pool.hosts;
+  return list;
+}
+
+}  // namespace
+
+struct EdgeService::Pool {
+  Pool(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, TunnelDialer::Times times)
+      : dialer(io, times, [this](const std::string& host) { return core.policy().may_use(host); }),
+        core(io, settings, seed, dialer,
+             {[] {},
+              [](const std::string& text) {
+                LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
+              }}) {}
+
+  void Update(const EdgePool& spec) {
+    dialer.SetParent(AccessOf(spec.parent));
+    const HostList list = ListOf(spec);
+    dialer.Update(list);
+    ServerNews news;
+    for (const Host& host : list.hosts) news.servers.push_back(host.server);
+    core.Report(std::move(news));
+  }
+
+  TunnelDialer dialer;
+  Gateway core;
+};
+
+EdgeService::EdgeService(boost::asio::io_context& io, std::shared_ptr<const EdgeConfig> config,
+                         const Settings& settings, Millis dial, std::uint64_t seed, Fleet fleet,
+                         const std::map<std::string, int>& inherited)
+    : io_(io),
+      config_(std::move(config)),
+      seed_(seed),
+      dial_(dial),
+      fleet_(std::move(fleet)),
+      front_(io, config_, Handlers()) {
+  Apply(*config_, settings);
+  front_.Listen(config_, inherited);
+  for (const std::string& warning : config_->warnings)
+    LogEvent(LogLevel::kWarn, "edge_warning", {{"text", warning}});
+}
+
+EdgeService::~EdgeService() = default;
+
+Settings EdgeService::WithTunnels(Settings settings, const EdgeConfig& config) {
+  const bool used = std::any_of(config.pools.begin(), config.pools.end(),
+                                [](const EdgePool& pool) { return pool.discovered; });
+  const bool taken = std::any_of(settings.classes.begin(), settings.classes.end(),
+                                 [&](const ClassSettings& c) { return c.name == config.tunnel.name; });
+  if (used && taken) {
+    throw EdgeError(config.path + ": tunnels.class: '" + config.tunnel.name +
+                    "' is a class of the platform's settings");
+  }
+  if (used) settings.classes.push_back(config.tunnel);
+  if (used) settings.most_held = config.limits.most_per_host;
+  return settings;
+}
+
+void EdgeService::Apply(const EdgeConfig& config, const Settings& settings) {
+  const TunnelDialer::Times times{dial_, config.limits.parent};
+  for (const EdgePool& spec : config.pools) {
+    if (spec.discovered) {
+      fleet_.dialer->SetTimes(times);
+      fleet_.dialer->SetParent(AccessOf(spec.parent));
+      continue;
+    }
+    auto& pool = pools_[spec.name];
+    const Settings own = PoolSettings(settings, config);
+    if (!pool) {
+      pool = std::make_unique<Pool>(io_, own, seed_ ^ std::hash<std::string>()(spec.name), times);
+    } else {
+      pool->core.Configure(own);
+      pool->dialer.SetTimes(times);
+    }
+    pool->Update(spec);
+  }
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    const EdgePool* const spec = config.FindPool(it->first);
+    if (spec != nullptr && !spec->discovered) {
+      ++it;
+    } else if (it->second->core.empty()) {
+      it = pools_.erase(it);
+    } else {
+      it++->second->Update({});  // nothing new goes there, and its tunnels end
+    }
+  }
+}
+
+void EdgeService::Reload(std::shared_ptr<const EdgeConfig> config, const Settings& settings, Millis dial) {
+  front_.Listen(config);  // the one step that can fail
+  dial_ = dial;
+  config_ = std::move(config);
+  Apply(*config_, settings);
+  front_.Configure(config_);
+  for (const std::string& warning : config_->warnings)
+    LogEvent(LogLevel::kWarn, "edge_warning", {{"text", warning}});
+}
+
+Gateway* EdgeService::CoreOf(const std::string& pool) {
+  if (const auto found = pools_.find(pool); found != pools_.end()) return &found->second->core;
+  const EdgePool* const spec = config_->FindPool(pool);
+  return spec != nullptr && spec->discovered ? fleet_.core : nullptr;
+}
+
+TunnelServer::Handlers EdgeService::Handlers() {
+  return {[this] { return fleet_.ready(); },
+          [this](const Route& route, ClientRequest request) {
+            if (Gateway* const core = CoreOf(route.pool)) return core->Take(std::move(request));
+            Answer answer;  // the pool went with a reload while the client spoke
+            answer.kind = Answer::Kind::kRefused;
+            request.answer(std::move(answer));
+          },
+          [this](const std::string& pool, const std::string& id) {
+            if (Gateway* const core = CoreOf(pool)) core->Left(id);
+          },
+          [this](const std::string& pool, const std::string& host) -> std::string {
+            Gateway* const core = CoreOf(pool);
+            if (core == nullptr) return "gone";
+            if (core == fleet_.core) return fleet_.unusable(host);
+            if (core->policy().may_use(host)) return "";
+            const EdgePool* const spec = config_->FindPool(pool);
+            const bool listed =
+                spec != nullptr && std::any_of(spec->hosts.begin(), spec->hosts.end(),
+                                               [&](const Host& h) { return h.server.id == host; });
+            return listed ? "out by hand" : "gone";
+          },
+          [this](const std::string& pool, const std::string& host) -> std::function<void(TunnelEnd)> {
+            if (Gateway* const core = CoreOf(pool)) return core->AdoptTunnel(config_->tunnel.name, host);
+            return [](TunnelEnd) {};
+          },
+          [](const std::string& event, const std::vector<std::pair<std::string, std::string>>& fields) {
+            LogEvent(LogLevel::kInfo, event, fields);
+          }};
+}
+
+bool EdgeService::Knows(const std::string& host) const {
+  return std::any_of(pools_.begin(), pools_.end(),
+                     [&](const auto& entry) { return entry.second->core.policy().knows(host); });
+}
+
+void EdgeService::Maintained(const std::string& host, bool out) {
+  for (auto& [name, pool] : pools_) {
+    if (!pool->core.policy().knows(host)) continue;
+    if (out) {
+      pool->core.Report(ServerOut{host});
+    } else {
+      pool->core.Report(ServerBack{host});
+    }
+  }
+  front_.HostsChanged();
+}
+
+void EdgeService::FailAll() {
+  for (auto& [name, pool] : pools_) pool->core.FailAll();
+  front_.CloseAll("shutdown");
+}
+
+}  // namespace meadowyard
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -6,12 +6,27 @@
 
 #include "app/serve.hpp"
 #include "config/config.hpp"
+#include "edge/edge_config.hpp"
 #include "log/log.hpp"
 
+namespace {
+
+int Explain(const std::string& edge, const std::string& destination) {
+  if (edge.empty()) throw meadowyard::EdgeError("--edge: missing; it names the file with the routes");
+  const meadowyard::EdgeConfig config = meadowyard::LoadEdge(edge);
+  std::string why;
+  const auto to = meadowyard::ParseDestination(destination, why);
+  if (!to) throw meadowyard::EdgeError(destination + ": " + why);
+  std::fputs(config.routes->Explain(*to).c_str(), stdout);
+  return 0;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   CLI::App app{"meadowyard: an HTTP gateway. Without a command it serves.", "meadowyard"};
   app.set_version_flag("--version", "meadowyard " MEADOWYARD_VERSION);
-  std::string form = "text", level = "info", file;
+  std::string form = "text", level = "info", file, edge, destination;
   app.add_option("--log-format", form, "log lines as text or json")->check(CLI::IsMember({"text", "json"}));
   app.add_option("--log-level", level, "least level that is logged")
       ->check(CLI::IsMember({"debug", "info", "warn", "error"}));
@@ -21,9 +36,15 @@
       "serve",
       "run one gateway in the foreground: NODE_CONFIG names its file; NODE_LISTEN, NODE_DISCOVERY and "
       "NODE_ADMIN win over it");
+  app.add_option("--edge", edge, "the operators' file for tunnels (deploy/edge.toml is an example)")
+      ->envname("MEADOWYARD_EDGE");
   auto* const check =
-      app.add_subcommand("check", "check a configuration file; exit status 1 if it can't be used");
+      app.add_subcommand("check", "check a file (.toml: for tunnels); exit status 1 if it can't be used");
   check->add_option("FILE", file, "the file that NODE_CONFIG would name")->required();
+  auto* const routes = app.add_subcommand("routes", "the routes of the file that --edge names");
+  auto* const explain = routes->add_subcommand("explain", "say which route takes a destination, and why");
+  explain->add_option("HOST:PORT", destination, "what a client would ask for")->required();
+  routes->require_subcommand(1);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -31,6 +52,13 @@
   }
   try {
     meadowyard::StartLog(form == "json" ? meadowyard::LogForm::kJson : meadowyard::LogForm::kText, level);
+    if (explain->parsed()) return Explain(edge, destination);
+    if (check->parsed() && file.ends_with(".toml")) {
+      for (const std::string& warning : meadowyard::LoadEdge(file).warnings)
+        std::printf("warning: %s\n", warning.c_str());
+      std::printf("%s: good\n", file.c_str());
+      return 0;
+    }
     if (check->parsed()) {
       meadowyard::LoadConfig(
           [&](const char* name) { return std::string(name) == "NODE_CONFIG" ? file.c_str() : nullptr; });
@@ -38,7 +66,7 @@
       return 0;
     }
     (void)serve;
-    meadowyard::Serve();
+    meadowyard::Serve(edge);
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "meadowyard: %s\n", error.what());
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -57,16 +57,30 @@
   return HandoverPath(folder, listen);
 }
 
+// The same for the operators' file.
+std::shared_ptr<const EdgeConfig> ConfigureEdge(const std::string& path,
+                                                const std::optional<GatewayState>& state) {
+  if (path.empty()) return nullptr;
+  try {
+    return std::make_shared<const EdgeConfig>(LoadEdge(path));
+  } catch (const EdgeError& error) {
+    if (!state || state->edge.empty()) throw;
+    LogEvent(LogLevel::kWarn, "edge_kept",
+             {{"text", "going on with the file in force"}, {"why", error.what()}});
+    return std::make_shared<const EdgeConfig>(ParseEdge(path, state->edge));
+  }
+}
+
 }  // namespace
 
-void Serve() {
+void Serve(const std::string& edge) {
   boost::asio::io_context io(1);
   boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
   auto inheritance = AskPredecessor(FindPredecessor());
   const auto state = inheritance ? ParseState(inheritance->state) : std::nullopt;
   if (!state) inheritance.reset();
   const Config config = Configure(state);
-  Service service(io, config, std::move(inheritance), state);
+  Service service(io, config, std::move(inheritance), state, ConfigureEdge(edge, state));
   LiveSettings settings(VariableAtReload, config,
                         {[&](const Config& changed) {
                            service.Reload(changed);
@@ -80,10 +94,20 @@
   ends.async_wait([&](const boost::system::error_code& ec, int) {
     if (!ec) service.Stop([&] { io.stop(); });
   });
+  const auto reload_edge = [&] {
+    if (edge.empty()) return;
+    try {
+      service.ReloadEdge(std::make_shared<const EdgeConfig>(LoadEdge(edge)));
+      LogEvent(LogLevel::kInfo, "edge_loaded", {{"file", edge}});
+    } catch (const std::exception& error) {
+      LogEvent(LogLevel::kWarn, "edge_kept", {{"text", "the file was not reloaded"}, {"why", error.what()}});
+    }
+  };
   std::function<void()> await_reload = [&] {
     reloads.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       settings.Reload();
+      reload_edge();
       await_reload();
     });
   };
--- a/src/app/serve.hpp
+++ b/src/app/serve.hpp
@@ -2,11 +2,14 @@
 #ifndef MEADOWYARD_APP_SERVE_HPP_
 #define MEADOWYARD_APP_SERVE_HPP_
 
+#include <string>
+
 namespace meadowyard {
 
 // Runs until SIGTERM or SIGINT; SIGHUP has it read its configuration again. Throws std::exception, with a
 // text that names what is wrong, if it can't start.
-void Serve();
+// `edge`: the operators' file for tunnels; empty: none.
+void Serve(const std::string& edge = "");
 
 }  // namespace meadowyard
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -16,12 +16,18 @@
 constexpr Millis kFlush = 200;     // for the last answers to leave
 constexpr Millis kAskAgain = 200;  // where lists are pushed: from a call that failed to the next
 
-Means MeansOf(const Config& config) { return {config.sockets, config.memory_mb, config.admin.has_value()}; }
+constexpr std::size_t kLeastSockets = 128;  // that tunnels have to leave for everything else
 
-// The module is told how many attempts there are descriptors for.
-Settings Fitted(Settings settings, const Budget& budget) {
-  settings.most_out = static_cast<int>(budget.host_connections);
-  return settings;
+// Tunnels have descriptors of their own, which nothing else is given.
+Means MeansOf(const Config& config, const EdgeConfig* edge) {
+  const std::size_t tunnels = edge != nullptr ? edge->descriptors() : 0;
+  if (tunnels > 0 && tunnels + kLeastSockets > config.sockets) {
+    throw EdgeError(edge->path + ": tunnels.most: tunnels and handshakes may hold " +
+                    std::to_string(tunnels) + " descriptors, and limits.sockets of the platform's file is " +
+                    std::to_string(config.sockets) + ", of which " + std::to_string(kLeastSockets) +
+                    " have to be left");
+  }
+  return {config.sockets - tunnels, config.memory_mb, config.admin.has_value()};
 }
 
 ClientLimits LimitsFor(const Budget& budget) {
@@ -42,15 +48,19 @@
 }  // namespace
 
 Service::Service(asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
-                 std::optional<GatewayState> state)
+                 std::optional<GatewayState> state, std::shared_ptr<const EdgeConfig> edge)
     : config_(config),
       file_(config.file),
       settings_(config.settings),
+      edge_file_(std::move(edge)),
       others_(state ? state->descriptors : 0),
-      budget_(ShareOut(MeansOf(config), others_)),
+      budget_(ShareOut(MeansOf(config, edge_file_.get()), others_)),
       hosts_(io, {config.dial_timeout, config.idle_timeout, budget_.host_connections},
              {[this](const std::string& host) { return core_.policy().may_use(host); }}),
-      core_(io, Fitted(settings_, budget_), config.seed, hosts_,
+      dialer_(io, {config.dial_timeout, 0},
+              [this](const std::string& host) { return core_.policy().may_use(host); }),
+      upstream_(hosts_, dialer_),
+      core_(io, Fitted(), config.seed, upstream_,
             {[this] { discovery_.Watch(); },
              [](const std::string& text) {
                LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
@@ -66,16 +76,30 @@
                {config.listen, config.admin.has_value(), inheritance ? inheritance->listener.release() : -1},
                LimitsFor(budget_),
                {[this] { return listed_ && !stopping_; },
-                [this](const std::string& name, Effect effect) { return core_.Admits(name, effect); },
+                [this](const std::string& name, Effect effect) {
+                  // Requests are never of the tunnels' class.
+                  if (edge_file_ && name == edge_file_->tunnel.name) return Policy::Admission::kNoClass;
+                  return core_.Admits(name, effect);
+                },
                 [this](ClientRequest request) { core_.Take(std::move(request)); },
                 [this](const std::string& id) { core_.Whole(id); },
                 [this](const std::string& id) { core_.Left(id); }}) {
+  if (edge_file_) {
+    std::map<std::string, int> doors;
+    if (inheritance) {
+      for (auto& [key, socket] : inheritance->doors) doors[key] = socket.release();
+    }
+    edge_.emplace(io, edge_file_, settings_, config.dial_timeout, config.seed, FleetForTunnels(), doors);
+  }
   if (config.admin) {
     admin_.emplace(
         io, *config.admin, AdminServer::Limits(),
-        AdminServer::Handlers{[this] { return listed_ && !stopping_; },
-                              [this] { return core_.figures().ToJson(core_.policy().census()); },
-                              [this](const std::string& host, bool out) { return Maintain(host, out); }});
+        AdminServer::Handlers{
+            [this] { return listed_ && !stopping_; },
+            [this] { return core_.figures().ToJson(core_.policy().census()); },
+            [this](const std::string& host, bool out) { return Maintain(host, out); },
+            [this] { return edge_ ? std::optional(edge_->front().Status().dump()) : std::nullopt; },
+            [this](std::uint64_t id) { return edge_ && edge_->front().CloseOne(id); }});
     succession_.emplace(io, config.handover, inheritance ? std::move(inheritance->link) : Descriptor(),
                         SuccessionHandlers());
   }
@@ -97,6 +121,10 @@
         hosts_.Adopt(host, address, socket.release());
       },
       [this](const std::string& host, bool out) { Maintained(host, out); },
+      [this] { return edge_ ? edge_->front().listeners() : std::vector<std::pair<std::string, int>>(); },
+      [this](std::string_view text, Descriptor client, Descriptor host) {
+        if (edge_) edge_->front().Adopt(client.release(), host.release(), text);
+      },
   };
 }
 
@@ -108,6 +136,7 @@
   state.hosts.revision = discovery_.revision().value_or(0);
   for (const auto& [id, host] : list_) state.hosts.hosts.push_back(host);
   state.learned = core_.policy().recall();
+  if (edge_) state.edge = edge_->config().text;
   state.descriptors = clients_.sessions() + hosts_.connections() + kOwnSockets;
   return ToText(state);
 }
@@ -118,19 +147,24 @@
   hosts_.PassIdle([this](const std::string& host, const asio::ip::tcp::endpoint& address, int socket) {
     return succession_->PassHost(host, address, socket);
   });
+  if (!edge_) return;
+  edge_->front().HandOver([this](int client, int host, std::string_view text) {
+    return succession_->PassTunnel(text, client, host);
+  });
 }
 
 void Service::TakeBack() {
   hosts_.PassIdle(nullptr);
   clients_.TakeBack();
+  if (edge_) edge_->front().TakeBack();
 }
 
 void Service::Share(std::size_t others) {
   if (others == std::exchange(others_, others)) return;
-  budget_ = ShareOut(MeansOf(config_), others_);
+  budget_ = ShareOut(MeansOf(config_, edge_file_.get()), others_);
   clients_.SetPlaces(budget_.client_sessions, budget_.usual_sessions);
   hosts_.SetMost(budget_.host_connections);
-  core_.Configure(Fitted(settings_, budget_));
+  core_.Configure(Fitted());
 }
 
 void Service::Reload(const Config& config) {
@@ -138,25 +172,58 @@
   settings_ = config.settings;
   hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
   core_.figures().Configured(true);
-  core_.Configure(Fitted(settings_, budget_));
+  core_.Configure(Fitted());
   discovery_.Move(config.discovery);
 }
 
+Settings Service::Fitted() const {
+  // The module is told how many attempts there are descriptors for.
+  Settings settings = edge_file_ ? EdgeService::WithTunnels(settings_, *edge_file_) : settings_;
+  settings.most_out = static_cast<int>(budget_.host_connections);
+  return settings;
+}
+
+EdgeService::Fleet Service::FleetForTunnels() {
+  return {&core_, &dialer_, [this] { return listed_ && !stopping_; },
+          [this](const std::string& host) { return Unusable(host); }};
+}
+
+std::string Service::Unusable(const std::string& host) const {
+  if (core_.policy().may_use(host)) return "";
+  const auto listed = list_.find(host);
+  if (listed == list_.end()) return "gone";
+  return listed->second.server.state == ServerState::kDraining ? "draining" : "out by hand";
+}
+
+void Service::ReloadEdge(std::shared_ptr<const EdgeConfig> edge) {
+  MeansOf(config_, edge.get());
+  EdgeService::WithTunnels(settings_, *edge);
+  edge_->Reload(edge, settings_, config_.dial_timeout);
+  edge_file_ = std::move(edge);
+  budget_ = ShareOut(MeansOf(config_, edge_file_.get()), others_);
+  core_.Configure(Fitted());
+}
+
 bool Service::Maintain(const std::string& host, bool out) {
-  if (!core_.policy().knows(host)) return false;
+  if (!core_.policy().knows(host) && !(edge_ && edge_->Knows(host))) return false;
   Maintained(host, out);
   succession_->Maintained(host, out);
   return true;
 }
 
 void Service::Maintained(const std::string& host, bool out) {
-  if (!out) return core_.Report(ServerBack{host});
-  core_.Report(ServerOut{host});
-  hosts_.Rest(host);
+  if (out) {
+    core_.Report(ServerOut{host});
+    hosts_.Rest(host);
+  } else {
+    core_.Report(ServerBack{host});
+  }
+  if (edge_) edge_->Maintained(host, out);
 }
 
 void Service::Told(const HostList& list) {
   hosts_.Update(list);  // first: nothing may be sent by the old list any more
+  dialer_.Update(list);
   if (list.complete) list_.clear();
   for (const Host& host : list.hosts) {
     if (host.server.state == ServerState::kGone) {
@@ -167,6 +234,7 @@
   }
   listed_ = listed_ || !list.hosts.empty();
   core_.Report(ToNews(list));
+  if (edge_) edge_->front().HostsChanged();
   if (listed_ && succession_) succession_->Serve();
 }
 
@@ -190,23 +258,34 @@
   Stop(std::move(done), times);
 }
 
-void Service::Stop(std::function<void()> done, StopTimes times) {
+void Service::Stop(std::function<void()> finished, StopTimes times) {
   if (std::exchange(stopping_, true)) return;
+  // Clients and tunnels, whichever are last; tunnels are not waited for beyond the time of the answers.
+  const auto left = std::make_shared<int>(edge_ ? 2 : 1);
+  const std::function<void()> done = [left, finished = std::move(finished)] {
+    if (--*left == 0) finished();
+  };
   const auto after = [this](Millis wait, auto next) {
     stop_.expires_after(Span(wait));
     stop_.async_wait([next = std::move(next)](error_code) { next(); });
   };
-  const auto fail_rest = [this, after, done] {
+  const auto fail_rest = [this, after, left, done] {
     core_.FailAll();
-    after(kFlush, done);
+    if (edge_) edge_->FailAll();
+    after(kFlush, [left, done] {
+      *left = 1;
+      done();
+    });
   };
   const auto drain = [this, after, done, times, fail_rest] {
     clients_.Drain(done);
+    if (edge_) edge_->front().Drain(done);
     after(times.answer - times.serve, fail_rest);
   };
   // The next process takes what comes; here only what was taken is finished.
   if (succession_ && succession_->succeeded()) {
     clients_.Drain(done);
+    if (edge_) edge_->front().Drain(done);
     return after(times.answer, fail_rest);
   }
   after(times.accept, [this, after, times, drain] {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 
+#include "app/edge_service.hpp"
 #include "config/config.hpp"
 #include "core/budget.hpp"
 #include "core/gateway.hpp"
@@ -21,16 +22,19 @@
 #include "operations/state_text.hpp"
 #include "operations/succession.hpp"
 #include "upstream/host_pool.hpp"
+#include "upstream/tunnel_dialer.hpp"
 
 namespace meadowyard {
 
 class Service {
  public:
   // Listens and watches at once. Throws std::exception if the settings or the address can't work.
-  Service(boost::asio::io_context& io, const Config& config) : Service(io, config, {}, {}) {}
+  // With an operators' file it takes tunnels too.
+  Service(boost::asio::io_context& io, const Config& config, std::shared_ptr<const EdgeConfig> edge = nullptr)
+      : Service(io, config, {}, {}, std::move(edge)) {}
   // Follows another process: begins with what that one knows, and at its listening socket.
   Service(boost::asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
-          std::optional<GatewayState> state);
+          std::optional<GatewayState> state, std::shared_ptr<const EdgeConfig> edge = nullptr);
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
 
@@ -40,6 +44,9 @@
   // Takes over what a changed configuration may change while the gateway runs: the settings, and where
   // discovery is.
   void Reload(const Config& config);
+  // The same of the operators' file: all of it, or, with a throw that says why, nothing.
+  void ReloadEdge(std::shared_ptr<const EdgeConfig> edge);
+  EdgeService& edge() { return edge_.value(); }  // throws std::bad_optional_access without a file
   // A changed configuration was turned down.
   void KeptSettings() { core_.figures().Configured(false); }
 
@@ -68,13 +75,21 @@
   void Share(std::size_t others);
   void Told(const HostList& list);
   void ListFailed();
+  // The settings in force for the core: with the room that there is, and the tunnels' class.
+  Settings Fitted() const;
+  EdgeService::Fleet FleetForTunnels();
+  // Why nothing new may go to a host of the fleet; empty: it may.
+  std::string Unusable(const std::string& host) const;
 
   const Config config_;  // as at the start
   std::shared_ptr<const nlohmann::json> file_;
-  Settings settings_;       // as in the file in force
-  std::size_t others_ = 0;  // descriptors that the process before this one holds
+  Settings settings_;                            // as in the file in force
+  std::shared_ptr<const EdgeConfig> edge_file_;  // null: no tunnels
+  std::size_t others_ = 0;                       // descriptors that the process before this one holds
   Budget budget_;
   HostPool hosts_;
+  TunnelDialer dialer_;
+  SplitUpstream upstream_;
   Gateway core_;
   Discovery discovery_;
   std::map<std::string, Host> list_;  // as discovery told it
@@ -83,6 +98,7 @@
   boost::asio::steady_timer stop_;
   boost::asio::steady_timer ask_again_;
   ClientServer clients_;
+  std::optional<EdgeService> edge_;
   std::optional<AdminServer> admin_;
   std::optional<Succession> succession_;
 };
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -39,6 +39,13 @@
   return load;
 }
 
+Answer Unserved(Answer::Kind kind, Millis retry_after = 0) {
+  Answer answer;
+  answer.kind = kind;
+  answer.retry_after = retry_after;
+  return answer;
+}
+
 // The request that an event is about; empty if it is about none.
 std::string RequestOf(const Event& event) {
   if (const auto* request = std::get_if<Request>(&event)) return request->id;
@@ -86,12 +93,13 @@
   flow.answer = std::move(request.answer);
   flow.class_name = request.class_name;
   flow.rest = std::move(request.rest);
+  flow.tunnel = request.tunnel;
   flow.allowed = request.allowed;
   flow.leaves_at = request.received + request.allowed - kMargin;
   const bool coming = flow.rest != nullptr;
   if (!coming) Count(request.id, flow);
   Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
-                 request.retry, coming, request.effect});
+                 request.retry, coming, request.only, request.tunnel, request.effect});
 }
 
 void Gateway::Count(const std::string& id, Flow& flow) {
@@ -125,8 +133,48 @@
   answer({meadowyard::Answer::Kind::kServed, 0, std::move(reply), std::move(rest),
           [this, name = flow->class_name](bool whole) {
             figures_.Ended(name, whole ? Figures::End::kAnswered : Figures::End::kErrored);
-          }});
+          },
+          true, nullptr, nullptr});
+  Report(StreamStarted{id, static_cast<int>(attempt), latency});
+}
+
+// Unlike a long answer, a tunnel may end while its client is told: the module hears of its beginning first.
+void Gateway::Opened(const std::string& id, std::size_t attempt, std::unique_ptr<meadowyard::Opened> opened) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr || flow->answered) return Ended(id, attempt, Result::kCancelled, {});
+  flow->answered = true;
+  flow->overdue.cancel();
+  flow->call.reset();
+  figures_.Sent(flow->class_name);
+  const Millis latency = Now() - flow->attempts[attempt].sent;
+  const auto answer = std::exchange(flow->answer, nullptr);
   Report(StreamStarted{id, static_cast<int>(attempt), latency});
+  answer({meadowyard::Answer::Kind::kServed,
+          0,
+          {},
+          nullptr,
+          nullptr,
+          true,
+          std::move(opened),
+          [this, id, attempt](TunnelEnd end) { Closed(id, attempt, end); }});
+}
+
+void Gateway::Closed(const std::string& id, std::size_t attempt, TunnelEnd end) {
+  Flow* const flow = Find(id);
+  if (flow == nullptr) return;
+  figures_.Ended(flow->class_name, end == TunnelEnd::kEnded    ? Figures::End::kAnswered
+                                   : end == TunnelEnd::kBroken ? Figures::End::kErrored
+                                                               : Figures::End::kLeft);
+  Ended(id, attempt, end == TunnelEnd::kBroken ? Result::kReset : Result::kServed, {});
+}
+
+std::function<void(TunnelEnd)> Gateway::AdoptTunnel(const std::string& class_name, const std::string& host) {
+  figures_.Taken();
+  Report(Held{host, 1});
+  return [this, class_name, host](TunnelEnd end) {
+    figures_.Ended(class_name, end == TunnelEnd::kPassedOn ? Figures::End::kLeft : Figures::End::kAnswered);
+    Report(Held{host, -1});
+  };
 }
 
 void Gateway::Left(const std::string& id) {
@@ -150,8 +198,9 @@
                   ParseLoad(reply.load_report, settings_.report_fields),
                   flow->spent};
   if (result == Result::kServed && !flow->answered) {
-    Answer(*flow, Figures::End::kAnswered,
-           {meadowyard::Answer::Kind::kServed, 0, std::move(reply), nullptr, nullptr});
+    Answer(
+        *flow, Figures::End::kAnswered,
+        {meadowyard::Answer::Kind::kServed, 0, std::move(reply), nullptr, nullptr, true, nullptr, nullptr});
   }
   Report(std::move(outcome));
 }
@@ -160,7 +209,7 @@
 void Gateway::Overdue(const std::string& id) {
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return;
-  Answer(*flow, Figures::End::kErrored, {meadowyard::Answer::Kind::kOverdue, 0, {}, nullptr, nullptr});
+  Answer(*flow, Figures::End::kErrored, Unserved(meadowyard::Answer::Kind::kOverdue));
   Report(ClientGone{id});
 }
 
@@ -208,6 +257,11 @@
   errand.begun = [this, id = send.request, index](Reply reply, std::shared_ptr<BodySource> rest) {
     Begun(id, index, std::move(reply), std::move(rest));
   };
+  if (flow->tunnel) {
+    errand.opened = [this, id = send.request, index](std::unique_ptr<meadowyard::Opened> opened) {
+      Opened(id, index, std::move(opened));
+    };
+  }
   errand.done = [this, id = send.request, index](Result result, Reply reply) {
     Ended(id, index, result, std::move(reply));
   };
@@ -218,15 +272,14 @@
 void Gateway::Do(const Refuse& refuse) {
   Flow* const flow = Find(refuse.request);
   if (flow == nullptr) return;
-  Answer(*flow, Figures::End::kDeferred,
-         {meadowyard::Answer::Kind::kRefused, refuse.retry_after, {}, nullptr, nullptr});
+  Answer(*flow, Figures::End::kDeferred, Unserved(meadowyard::Answer::Kind::kRefused, refuse.retry_after));
   Settle(refuse.request);
 }
 
 void Gateway::Do(const Fail& fail) {
   Flow* const flow = Find(fail.request);
   if (flow == nullptr) return;
-  Answer(*flow, Figures::End::kErrored, {meadowyard::Answer::Kind::kFailed, 0, {}, nullptr, nullptr});
+  Answer(*flow, Figures::End::kErrored, Unserved(meadowyard::Answer::Kind::kFailed));
   Settle(fail.request);
 }
 
@@ -255,6 +308,7 @@
 void Gateway::Answer(Flow& flow, Figures::End end, meadowyard::Answer answer) {
   if (flow.answered) return;
   End(flow, end);
+  answer.tried = !flow.attempts.empty();
   std::exchange(flow.answer, nullptr)(std::move(answer));
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -36,6 +36,8 @@
   void Take(ClientRequest request);
   // The body that was still coming is whole: from now on the request's time counts.
   void Whole(const std::string& id);
+  // A tunnel that another process opened goes on here; returns what its end is to be told to.
+  std::function<void(TunnelEnd)> AdoptTunnel(const std::string& class_name, const std::string& host);
   // The client of an unanswered request has left.
   void Left(const std::string& id);
 
@@ -46,6 +48,8 @@
   void Configure(const Settings& settings);
   // Answers all that is open: the process ends.
   void FailAll();
+  // No request is open here.
+  bool empty() const { return flows_.empty(); }
   const Policy& policy() const { return policy_; }
   Figures& figures() { return figures_; }
 
@@ -66,6 +70,7 @@
     Millis allowed = 0;    // from when it is whole
     Millis whole_at = 0;   // 0: it is not whole yet
     bool counted = false;  // as taken
+    bool tunnel = false;   // its answer is an open way to a host
     bool spent = false;    // pieces of its body are gone: it can't be sent again
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
@@ -77,6 +82,8 @@
   // An attempt has a long answer, which goes to the client as it comes.
   void Begun(const std::string& id, std::size_t attempt, Reply reply, std::shared_ptr<BodySource> rest);
   void Ended(const std::string& id, std::size_t attempt, Result result, Reply reply);
+  void Opened(const std::string& id, std::size_t attempt, std::unique_ptr<meadowyard::Opened> opened);
+  void Closed(const std::string& id, std::size_t attempt, TunnelEnd end);
   void Overdue(const std::string& id);
 
   void Do(const Send& send);
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/body_source.hpp"
+#include "core/opened.hpp"
 #include "meadowyard/policy.hpp"
 
 namespace meadowyard {
@@ -79,6 +80,9 @@
   Reply reply;
   std::shared_ptr<BodySource> rest;        // of a long answer's body; null: the answer is whole
   std::function<void(bool whole)> passed;  // for one with a rest: all of it has gone to the client, or not
+  bool tried = false;                      // some attempt was made
+  std::unique_ptr<Opened> opened;          // for a tunnel that is served: the host's end
+  std::function<void(TunnelEnd)> closed;   // for that one: to be called once, when it has ended
 };
 
 // A client's well-formed request, as a front hands it to the core.
@@ -87,6 +91,8 @@
   std::string id, class_name, tenant, key;
   Effect effect = Effect::kUnsafe;     // as which the client made it
   bool retry = false;                  // the client's own further try
+  bool tunnel = false;                 // its answer is an open way to a host
+  std::string only;                    // the one host that it may go to; empty: any
   Millis received = 0;                 // when its last byte was read
   Millis allowed = 0;                  // how long the client waits, from when it sent it
   std::shared_ptr<BodySource> rest;    // of a body that is not whole yet; null if it is
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -19,6 +19,8 @@
   std::function<void()> written = [] {};  // it was written whole
   // Its answer is a long one: the head with the first piece of the body, and the rest. `done` still follows.
   std::function<void(Reply, std::shared_ptr<BodySource>)> begun;
+  // For a tunnel: the way to the host is open, and belongs to whoever is told. `done` does not follow.
+  std::function<void(std::unique_ptr<Opened>)> opened;
   // How it ended; the reply is the host's, if there was one. Called once, perhaps before Start returns.
   std::function<void(Result, Reply)> done;
 };
--- a/src/decision/picker.hpp
+++ b/src/decision/picker.hpp
@@ -18,7 +18,7 @@
     const double latency = (own * b.latency + pooled * b.kind->latency) / std::max(1.0, all);
     const double crossing = b.info.zone == set_.zone ? 1 : kCrossing;
     const double median = all > 0 ? 0 : Median();  // 0 too where nothing was measured yet
-    return crossing * (b.in_flight + 1) * (all > 0 ? latency : median > 0 ? median : 1);
+    return crossing * (b.in_flight + b.held + 1) * (all > 0 ? latency : median > 0 ? median : 1);
   }
 
   // Rule 2: a keyed request that may have run stays with the servers that drop its repeats.
@@ -38,7 +38,10 @@
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
     candidates_.clear();
     for (auto& [id, b] : servers_) {
-      if (!b.mine || !b.up || &b == last || !Allowed(flow, b)) continue;
+      // One limited to a single server goes there whatever the subset, and again.
+      if (!b.up || (flow.only != 0 ? (b.hash | 1) != flow.only : !b.mine || &b == last) || !Allowed(flow, b))
+        continue;
+      if (flow.holds && set_.most_held > 0 && b.held + b.in_flight >= set_.most_held) continue;
       // A suspect returns by one trial at a time, with a request that may run again.
       if (b.suspect) {
         if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) return &b;
@@ -47,6 +50,14 @@
       if (Ready(b, flow.in_share)) candidates_.push_back({0, &b});
     }
     if (candidates_.empty()) return nullptr;
+    // A hall that has gone fails one dial after another: the next try goes elsewhere, if there is an
+    // elsewhere.
+    if (last != nullptr && flow.attempts.back().unreached) {
+      const auto there = std::partition(candidates_.begin(), candidates_.end(), [&](const auto& candidate) {
+        return candidate.second->info.zone != last->info.zone;
+      });
+      if (there != candidates_.begin()) candidates_.erase(there, candidates_.end());
+    }
     if (candidates_.size() > 2) {
       if (set_.warm_keys && flow.key != 0) {
         // Weighted rendezvous: lowest first; a server's coming or going moves only its own keys.
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -116,6 +116,8 @@
     flow.cls = static_cast<int>(tier - classes_.data());
     flow.most_attempts = set_.max_attempts;
     flow.coming = r.coming;
+    flow.only = r.only.empty() ? 0 : Hash(r.only) | 1;
+    flow.holds = r.holds;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
     arriving_ += 1 / kLongMemory;
@@ -159,7 +161,7 @@
     b.in_flight += !flow.coming;  // what is still coming is no work yet
     ++out_now_;
     ++b.refs;
-    flow.attempts.push_back({&b, now_, true, true, !flow.coming});
+    flow.attempts.push_back({&b, now_, true, true, false, !flow.coming, false, false});
     Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
   }
 
@@ -171,12 +173,14 @@
     if (!std::exchange(attempt.out, false)) return;
     if (!std::isfinite(o.latency) || o.latency < 0)
       o.latency = now_ - attempt.sent;  // never into an estimate
+    attempt.unreached = o.result == Result::kConnectFailed;
     attempt.may_have_run =
         o.result != Result::kRejected && o.result != Result::kConnectFailed && o.result != Result::kNotSent;
     Backend& b = *attempt.server;
     b.in_flight -= std::exchange(attempt.loads, false);
-    --out_now_;
-    if (!attempt.streams) LearnFrom(b, flow, o);
+    attempt.held ? --b.held : --out_now_;
+    // How long a tunnel lives says nothing of its server; that it broke at its beginning does.
+    if (!attempt.streams || (attempt.held && o.result == Result::kReset)) LearnFrom(b, flow, o);
     if (o.finished || o.result == Result::kServed) flow.answered = true;
     if (!flow.answered && !flow.AnyOut() && !flow.queued) return TryAgain(flow, o);
     Settle(flow);
@@ -257,6 +261,7 @@
     Attempt& attempt = flow->attempts[s.attempt];
     if (!attempt.out || std::exchange(attempt.streams, true)) return;
     attempt.server->in_flight -= std::exchange(attempt.loads, false);
+    if (flow->holds) attempt.held = true, ++attempt.server->held, --out_now_;
     Outcome begun;  // served, as far as the server goes
     begun.latency = s.latency;
     LearnFrom(*attempt.server, *flow, begun);
@@ -273,6 +278,11 @@
     }
   }
 
+  void On(const Held& held) {
+    const auto found = servers_.find(held.server);
+    if (found != servers_.end()) found->second.held = std::max(0, found->second.held + held.more);
+  }
+
   void On(const TimerDue&) { Sweep(); }
 
   void Sweep() {
--- a/src/decision/queues.hpp
+++ b/src/decision/queues.hpp
@@ -87,17 +87,27 @@
         if (best == nullptr || c.credit + c.weight > best->credit + best->weight) best = &c;
       }
       if (best == nullptr) break;
-      Flow& flow = *best->Line().front();
-      Backend* b = Pick(flow);
-      if (b == nullptr) {
+      const Released next = FirstToGo(*best);
+      if (next.flow == nullptr) {
         best->stuck_in = releases_;  // no server can take its head now
         continue;
       }
       // Where all backlogged classes are in debt the least indebted goes: a token never idles.
       for (Tier& c : classes_) c.credit = std::min(kCreditCap, c.credit + (c.Size() > 0 ? c.weight : 0));
       best->credit = std::max(-kCreditCap, best->credit - 1);
-      Unqueue(flow);
-      return {&flow, b};
+      Unqueue(*next.flow);
+      return next;
+    }
+    return {};
+  }
+
+  // The head of a class's queues with a server for it. One that waits for a single server holds nobody up.
+  Released FirstToGo(Tier& c) {
+    for (auto* line : {&c.retries, &c.in_share, &c.over_share}) {
+      for (Flow* flow : *line) {
+        if (Backend* const b = Pick(*flow)) return {flow, b};
+        if (flow->only == 0) return {};
+      }
     }
     return {};
   }
--- a/src/decision/state.hpp
+++ b/src/decision/state.hpp
@@ -55,6 +55,7 @@
   bool mine = false;    // in this gateway's subset
   int refs = 0;         // attempts of living requests that name it
   int in_flight = 0;    // own attempts out
+  int held = 0;         // tunnels that are open
   double latency = 0;   // smoothed, relative to the class; 0 = unmeasured
   double steady = 0;    // the same, smoothed over more samples
   double base = 0;      // the lowest of that: what it is when uncrowded
@@ -79,15 +80,19 @@
   Millis sent;
   bool out = true;
   bool may_have_run = true;
-  bool loads = true;     // counts as in flight at its server, whose work has begun and not ended
-  bool streams = false;  // its answer goes to the client already
+  bool unreached = false;  // no connection came up
+  bool loads = true;       // counts as in flight at its server, whose work has begun and not ended
+  bool held = false;       // its server is held until it ends
+  bool streams = false;    // its answer goes to the client already
 };
 
 // A request that the gateway has taken, until it is answered and all its attempts have ended.
 struct Flow {
   std::string id;
   int cls = 0;
-  std::uint64_t key = 0;  // 0 = none
+  std::uint64_t key = 0;   // 0 = none
+  std::uint64_t only = 0;  // hash of the one server that it may go to; 0 = any
+  bool holds = false;
   Millis arrived = 0, aim_at = 0, leaves_at = 0;
   bool in_share = true;
   bool answered = false;
@@ -124,7 +129,6 @@
   std::deque<Flow*> retries, in_share, over_share;
 
   std::size_t Size() const { return retries.size() + in_share.size() + over_share.size(); }
-  std::deque<Flow*>& Line() { return !retries.empty() ? retries : !in_share.empty() ? in_share : over_share; }
 };
 
 struct Tenant {
@@ -163,7 +167,7 @@
   Millis swept_at_ = 0;
   double mean_latency_ = 0, reference_ = 0, retry_budget_ = 1;
   int samples_ = 0, up_ = 0;
-  int out_now_ = 0;  // attempts out
+  int out_now_ = 0;  // attempts out, but those that hold their servers
   std::size_t queued_ = 0;
   std::vector<std::pair<double, Backend*>> ring_;
   double place_ = 0;    // of this gateway on the ring of servers
--- a/src/operations/admin_server.cpp
+++ b/src/operations/admin_server.cpp
@@ -177,15 +177,17 @@
   const std::string target(request.target().data(), request.target().size());
   const std::string path = target.substr(0, target.find('?'));
   const std::string query = path.size() < target.size() ? target.substr(path.size() + 1) : "";
-  const bool reads = path == "/status" || path == "/status/metrics";
+  const bool tunnels = path == "/status/tunnels", close = path == "/tunnels/close";
+  const bool reads = path == "/status" || path == "/status/metrics" || tunnels;
   const bool out = path == "/maintenance/enter";
-  if (!reads && !out && path != "/maintenance/exit")
+  if (!reads && !out && !close && path != "/maintenance/exit")
     return PlainReply(http::status::not_found, "no such path\n");
   if (request.method() != (reads ? http::verb::get : http::verb::put)) {
     HttpResponse response = PlainReply(http::status::method_not_allowed, "the path takes another method\n");
     response.set(http::field::allow, reads ? "GET" : "PUT");
     return response;
   }
+  if (tunnels || close) return Tunnels(query, close);
   if (!reads) return Maintain(query, out);
   if (path == "/status") {
     return handlers_.ready() ? PlainReply(http::status::ok, "yes\n")
@@ -196,6 +198,25 @@
   return response;
 }
 
+HttpResponse AdminServer::Tunnels(const std::string& query, bool close) {
+  const auto listed = handlers_.tunnels ? handlers_.tunnels() : std::nullopt;
+  if (!listed) return PlainReply(http::status::not_found, "no such path\n");
+  if (close) {
+    const auto text = Parameter(query, "id");
+    std::uint64_t id = 0;
+    if (!text ||
+        std::from_chars(text->data(), text->data() + text->size(), id).ptr != text->data() + text->size()) {
+      return PlainReply(http::status::bad_request, "id: one tunnel's number is wanted\n");
+    }
+    if (!handlers_.close_tunnel(id))
+      return PlainReply(http::status::not_found, "no tunnel has this number\n");
+    return PlainReply(http::status::ok, "closed\n");
+  }
+  HttpResponse response = PlainReply(http::status::ok, *listed);
+  response.set(http::field::content_type, "application/json");
+  return response;
+}
+
 HttpResponse AdminServer::Maintain(const std::string& query, bool out) {
   const auto host = Parameter(query, "target");
   if (!host) return PlainReply(http::status::bad_request, "target: one host id is wanted\n");
--- a/src/operations/admin_server.hpp
+++ b/src/operations/admin_server.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "http/messages.hpp"
@@ -29,6 +30,8 @@
     std::function<std::string()> figures;  // as JSON
     // Leaves a host out or puts it back; false if nobody has this id.
     std::function<bool(const std::string& host, bool out)> maintain;
+    std::function<std::optional<std::string>()> tunnels;  // as JSON; nothing where there are none to be had
+    std::function<bool(std::uint64_t id)> close_tunnel;   // false if there is none of this number
   };
 
   // Listens at once. Throws boost::system::system_error if it can't.
@@ -43,6 +46,7 @@
   void Accept();
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse Maintain(const std::string& query, bool out);
+  HttpResponse Tunnels(const std::string& query, bool close);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/operations/handover.cpp
+++ b/src/operations/handover.cpp
@@ -42,21 +42,23 @@
   if (fd_ >= 0) ::close(fd_);
 }
 
-bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor) {
+bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor, int second) {
   char mark = static_cast<char>(kind);
   iovec parts[2] = {{&mark, 1}, {const_cast<char*>(text.data()), text.size()}};
   msghdr message{};
   message.msg_iov = parts;
   message.msg_iovlen = 2;
-  alignas(cmsghdr) char control[CMSG_SPACE(sizeof descriptor)] = {};
+  const int both[2] = {descriptor, second};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof both)] = {};
   if (descriptor >= 0) {
+    const std::size_t size = second >= 0 ? sizeof both : sizeof descriptor;
     message.msg_control = control;
-    message.msg_controllen = sizeof control;
+    message.msg_controllen = CMSG_SPACE(size);
     cmsghdr* const head = CMSG_FIRSTHDR(&message);
     head->cmsg_level = SOL_SOCKET;
     head->cmsg_type = SCM_RIGHTS;
-    head->cmsg_len = CMSG_LEN(sizeof descriptor);
-    std::memcpy(CMSG_DATA(head), &descriptor, sizeof descriptor);
+    head->cmsg_len = CMSG_LEN(size);
+    std::memcpy(CMSG_DATA(head), both, size);
   }
   return ::sendmsg(link, &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
 }
@@ -67,7 +69,7 @@
   msghdr message{};
   message.msg_iov = &part;
   message.msg_iovlen = 1;
-  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  alignas(cmsghdr) char control[CMSG_SPACE(2 * sizeof(int))] = {};
   message.msg_control = control;
   message.msg_controllen = sizeof control;
   const ssize_t got = ::recvmsg(link, &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
@@ -80,9 +82,11 @@
   received.text.assign(text.data() + 1, static_cast<std::size_t>(got - 1));
   const cmsghdr* const head = CMSG_FIRSTHDR(&message);
   if (head != nullptr && head->cmsg_type == SCM_RIGHTS) {
-    int fd = -1;
-    std::memcpy(&fd, CMSG_DATA(head), sizeof fd);
-    received.descriptor = Descriptor(fd);
+    int both[2] = {-1, -1};
+    std::memcpy(both, CMSG_DATA(head),
+                std::min(sizeof both, static_cast<std::size_t>(head->cmsg_len - CMSG_LEN(0))));
+    received.descriptor = Descriptor(both[0]);
+    received.second = Descriptor(both[1]);
   }
   return received;
 }
@@ -126,8 +130,9 @@
   state_->Wait();
 }
 
-bool Link::Send(Message::Kind kind, std::string_view text, int descriptor) {
-  return state_->socket.is_open() && SendMessage(state_->socket.native_handle(), kind, text, descriptor);
+bool Link::Send(Message::Kind kind, std::string_view text, int descriptor, int second) {
+  return state_->socket.is_open() &&
+         SendMessage(state_->socket.native_handle(), kind, text, descriptor, second);
 }
 
 std::optional<Inheritance> AskPredecessor(const std::string& path) {
@@ -144,6 +149,10 @@
     ::poll(&wait, 1, static_cast<int>(std::max(1.0, until - Now())));
     bool ended = false;
     while (auto message = ReceiveMessage(link.get(), ended)) {
+      if (message->kind == Message::Kind::kDoor) {
+        inheritance.doors[message->text] = std::move(message->descriptor);
+        continue;
+      }
       if (message->descriptor) inheritance.listener = std::move(message->descriptor);
       inheritance.state += message->text;
       if (message->kind != Message::Kind::kEnd) continue;
--- a/src/operations/handover.hpp
+++ b/src/operations/handover.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,16 +46,18 @@
     kHeld = 'D',    // old to new: how many descriptors it still holds
     kOut = 'O',     // both ways: a host was left out by hand, or put back
     kBack = 'B',
+    kDoor = 'L',    // old to new: another listening socket, by what it is for
+    kTunnel = 'T',  // old to new: a tunnel, with the client's descriptor and the host's
   };
   Kind kind = Kind::kEnd;
   std::string text;
-  Descriptor descriptor;
+  Descriptor descriptor, second;
 };
 
-constexpr std::size_t kMostMessage = 32 * 1024;  // longer texts go in pieces
+constexpr std::size_t kMostMessage = 72 * 1024;  // longer texts go in pieces; a tunnel has two of 32 KiB
 
 // A message at once, without waiting; false if it can't be sent now.
-bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor = -1);
+bool SendMessage(int link, Message::Kind kind, std::string_view text, int descriptor = -1, int second = -1);
 // The next one, if there is any by now; nothing at the end of the link too, with `ended` set.
 std::optional<Message> ReceiveMessage(int link, bool& ended);
 
@@ -68,7 +71,7 @@
   Link(boost::asio::io_context& io, Descriptor socket);
   ~Link();
   void Listen(Handlers handlers);
-  bool Send(Message::Kind kind, std::string_view text, int descriptor = -1);
+  bool Send(Message::Kind kind, std::string_view text, int descriptor = -1, int second = -1);
 
  private:
   struct State;
@@ -77,7 +80,8 @@
 
 struct Inheritance {
   std::string state;
-  Descriptor listener;  // the clients'
+  Descriptor listener;                      // the clients'
+  std::map<std::string, Descriptor> doors;  // the tunnels', by what they are for
   Descriptor link;
 };
 // Asks the process that is found at `path`, if there is one and it answers in time. Waits for it.
--- a/src/operations/state_text.cpp
+++ b/src/operations/state_text.cpp
@@ -18,9 +18,13 @@
 using nlohmann::json;
 
 std::string ToText(const GatewayState& state) {
-  const json whole = {{"file", state.file},           {"discovery", state.discovery},
-                      {"hosts", ToText(state.hosts)}, {"revision_known", state.revision_known},
-                      {"learned", state.learned},     {"descriptors", state.descriptors}};
+  const json whole = {{"file", state.file},
+                      {"discovery", state.discovery},
+                      {"hosts", ToText(state.hosts)},
+                      {"revision_known", state.revision_known},
+                      {"learned", state.learned},
+                      {"descriptors", state.descriptors},
+                      {"edge", state.edge}};
   return whole.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -36,6 +40,7 @@
     state.revision_known = whole.at("revision_known").get<bool>();
     state.learned = whole.at("learned").get<Recollection>();
     state.descriptors = whole.at("descriptors").get<std::size_t>();
+    state.edge = whole.value("edge", "");
     return state;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/operations/state_text.hpp
+++ b/src/operations/state_text.hpp
@@ -18,6 +18,7 @@
   bool revision_known = false;
   Recollection learned;
   std::size_t descriptors = 0;  // that the process holds
+  std::string edge;             // the operators' file in force; empty: none
 };
 
 std::string ToText(const GatewayState& state);
--- a/src/operations/succession.cpp
+++ b/src/operations/succession.cpp
@@ -52,6 +52,10 @@
     sent = SendMessage(socket.get(), Kind::kState, rest.substr(0, kMostMessage), listener);
     rest.remove_prefix(std::min(rest.size(), kMostMessage));
   }
+  for (const auto& [key, door] :
+       handlers_.doors ? handlers_.doors() : std::vector<std::pair<std::string, int>>()) {
+    sent = sent && SendMessage(socket.get(), Kind::kDoor, key, door);
+  }
   if (!sent || !SendMessage(socket.get(), Kind::kEnd, "")) {
     LogEvent(LogLevel::kWarn, "handover_failed",
              {{"text", "could not tell the next version what this one knows"}});
@@ -70,6 +74,8 @@
       if (!address || space == std::string::npos) return;
       return handlers_.host(message.text.substr(space + 1), *address, std::move(message.descriptor));
     }
+    case Kind::kTunnel:
+      return handlers_.tunnel(message.text, std::move(message.descriptor), std::move(message.second));
     case Kind::kHeld: return handlers_.others(std::strtoul(message.text.c_str(), nullptr, 10));
     case Kind::kOut:
     case Kind::kBack: {
@@ -122,6 +128,10 @@
   return next_ && next_->Send(Kind::kHost, ToText(address) + " " + host, socket);
 }
 
+bool Succession::PassTunnel(std::string_view text, int client, int host) {
+  return next_ && text.size() <= kMostMessage && next_->Send(Kind::kTunnel, text, client, host);
+}
+
 void Succession::Maintained(const std::string& host, bool out) {
   Mirror(before_.get(), host, out);
   Mirror(next_.get(), host, out);
--- a/src/operations/succession.hpp
+++ b/src/operations/succession.hpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "operations/handover.hpp"
 
@@ -28,6 +30,8 @@
     std::function<void(const std::string& host, const boost::asio::ip::tcp::endpoint& address, Descriptor)>
         host;
     std::function<void(const std::string& host, bool out)> maintained;  // by the other process's operators
+    std::function<std::vector<std::pair<std::string, int>>()> doors;    // the tunnels' listening sockets
+    std::function<void(std::string_view text, Descriptor client, Descriptor host)> tunnel;
   };
   // `path` is empty where there is no next process to wait for; `before` is the link to the one before.
   Succession(boost::asio::io_context& io, const std::string& path, Descriptor before, Handlers handlers);
@@ -40,6 +44,7 @@
   // To the next process; false if it can't be passed now.
   bool PassClient(int socket, std::string_view unread);
   bool PassHost(const std::string& host, const boost::asio::ip::tcp::endpoint& address, int socket);
+  bool PassTunnel(std::string_view text, int client, int host);
   // An operator of this process left a host out or put it back.
   void Maintained(const std::string& host, bool out);
 
--- /dev/null
+++ b/src/routing/destination.cpp
@@ -0,0 +1,92 @@
+#include "routing/destination.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace meadowyard {
+namespace {
+
+namespace ip = boost::asio::ip;
+
+constexpr std::size_t kMostName = 255;  // what SOCKS5 can say
+constexpr std::size_t kMostLabel = 63;
+
+bool GoodName(std::string_view name) {
+  if (name.empty() || name.size() > kMostName) return false;
+  std::size_t label = 0;
+  for (std::size_t i = 0; i <= name.size(); ++i) {
+    if (i == name.size() || name[i] == '.') {
+      if (label == 0 || label > kMostLabel || name[i - 1] == '-') return false;
+      label = 0;
+      continue;
+    }
+    const auto c = static_cast<unsigned char>(name[i]);
+    if (!std::isalnum(c) && c != '_' && !(c == '-' && label > 0)) return false;
+    ++label;
+  }
+  // All digits and dots, but no address: some resolvers would make one of it.
+  return name.find_first_not_of("0123456789.") != std::string_view::npos;
+}
+
+}  // namespace
+
+std::string Destination::ToText() const {
+  const std::string host = !address           ? name
+                           : address->is_v6() ? "[" + address->to_string() + "]"
+                                              : address->to_string();
+  return host + ":" + std::to_string(port);
+}
+
+std::optional<Destination> MakeDestination(std::string_view host, std::uint16_t port, std::string& why) {
+  Destination d;
+  d.port = port;
+  if (port == 0) {
+    why = "port 0";
+    return std::nullopt;
+  }
+  boost::system::error_code ec;
+  const ip::address address = ip::make_address(std::string(host), ec);
+  if (!ec) {
+    const bool mapped = address.is_v6() && address.to_v6().is_v4_mapped();
+    d.address = mapped ? ip::address(ip::make_address_v4(ip::v4_mapped, address.to_v6())) : address;
+    return d;
+  }
+  if (host.ends_with('.')) host.remove_suffix(1);
+  if (!GoodName(host)) {
+    why = "neither an address nor a name";
+    return std::nullopt;
+  }
+  d.name.resize(host.size());
+  std::transform(host.begin(), host.end(), d.name.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return d;
+}
+
+std::optional<Destination> ParseDestination(std::string_view text, std::string& why) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    why = "no port";
+    return std::nullopt;
+  }
+  const std::string_view digits = text.substr(colon + 1);
+  unsigned port = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (digits.empty() || error != std::errc() || end != digits.data() + digits.size() || port == 0 ||
+      port > 65535) {
+    why = "the port is not a number from 1 to 65535";
+    return std::nullopt;
+  }
+  std::string_view host = text.substr(0, colon);
+  const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) host = host.substr(1, host.size() - 2);
+  auto made = MakeDestination(host, static_cast<std::uint16_t>(port), why);
+  const bool six = host.find(':') != std::string_view::npos;
+  if (made && (bracketed != six)) {
+    why = "an IPv6 address, and nothing else, stands in brackets";
+    return std::nullopt;
+  }
+  return made;
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/upstream/parent_handshake.cpp
@@ -0,0 +1,118 @@
+#include "upstream/parent_handshake.hpp"
+
+#include "discovery/discovery.hpp"
+
+namespace meadowyard {
+namespace {
+
+constexpr std::size_t kMostHead = 8192;
+
+// What a SOCKS5 reply says of an attempt (RFC 1928, section 6): 3 to 6 speak of the host, the rest of the
+// parent.
+Result Meaning(unsigned char reply) {
+  if (reply == 0) return Result::kServed;
+  return reply >= 3 && reply <= 6 ? Result::kConnectFailed : Result::kRejected;
+}
+
+}  // namespace
+
+std::string ToBase64(std::string_view bytes) {
+  constexpr char kDigits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    unsigned group = 0;
+    for (std::size_t k = 0; k < 3; ++k) {
+      group = group << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0u);
+    }
+    for (std::size_t k = 0; k < 4; ++k) {
+      text += i + k > bytes.size() ? '=' : kDigits[group >> (18 - 6 * k) & 63];
+    }
+  }
+  return text;
+}
+
+ParentHandshake::ParentHandshake(const ParentAccess& parent, const boost::asio::ip::tcp::endpoint& target)
+    : parent_(parent), target_(target) {
+  if (parent_.socks) {
+    output_ = parent_.user.empty() ? std::string("\x05\x01\x00", 3) : std::string("\x05\x01\x02", 3);
+    return;
+  }
+  stage_ = Stage::kHead;
+  const std::string authority = ToText(target_);
+  output_ = "CONNECT " + authority + " HTTP/1.1\r\nHost: " + authority + "\r\n";
+  if (!parent_.user.empty()) {
+    output_ += "Proxy-Authorization: Basic " + ToBase64(parent_.user + ":" + parent_.password) + "\r\n";
+  }
+  output_ += "\r\n";
+}
+
+std::optional<Result> ParentHandshake::Feed(std::string& in) {
+  return stage_ == Stage::kHead ? FeedHead(in) : FeedSocks(in);
+}
+
+void ParentHandshake::AskSocks() {
+  stage_ = Stage::kReply;
+  output_ = std::string("\x05\x01\x00", 3);
+  const auto append = [this](const auto& bytes) { output_.append(bytes.begin(), bytes.end()); };
+  if (target_.address().is_v4()) {
+    output_ += '\x01';
+    append(target_.address().to_v4().to_bytes());
+  } else {
+    output_ += '\x04';
+    append(target_.address().to_v6().to_bytes());
+  }
+  output_ += static_cast<char>(target_.port() >> 8);
+  output_ += static_cast<char>(target_.port() & 255);
+}
+
+std::optional<Result> ParentHandshake::FeedSocks(std::string& in) {
+  const auto byte = [&](std::size_t i) { return static_cast<unsigned char>(in[i]); };
+  if (stage_ == Stage::kMethod) {
+    if (in.size() < 2) return std::nullopt;
+    const unsigned char wanted = parent_.user.empty() ? 0 : 2;
+    if (byte(0) != 5) return Result::kConnectFailed;
+    if (byte(1) != wanted) return Result::kRejected;
+    in.erase(0, 2);
+    if (wanted == 0) {
+      AskSocks();
+    } else {
+      stage_ = Stage::kPassword;
+      output_ = std::string("\x01", 1) + static_cast<char>(parent_.user.size()) + parent_.user +
+                static_cast<char>(parent_.password.size()) + parent_.password;
+    }
+    return std::nullopt;
+  }
+  if (stage_ == Stage::kPassword) {
+    if (in.size() < 2) return std::nullopt;
+    if (byte(1) != 0) return Result::kRejected;
+    in.erase(0, 2);
+    AskSocks();
+    return std::nullopt;
+  }
+  if (in.size() < 5) return std::nullopt;
+  if (byte(0) != 5) return Result::kConnectFailed;
+  const std::size_t address = byte(3) == 1 ? 4 : byte(3) == 4 ? 16 : byte(3) == 3 ? 1u + byte(4) : 0;
+  if (address == 0) return Result::kConnectFailed;
+  const Result meaning = Meaning(byte(1));
+  if (meaning != Result::kServed) return meaning;
+  if (in.size() < 4 + address + 2) return std::nullopt;
+  in.erase(0, 4 + address + 2);
+  return meaning;
+}
+
+// Any 2xx opens the way, and no body follows it (RFC 9110, section 9.3.6).
+std::optional<Result> ParentHandshake::FeedHead(std::string& in) {
+  const std::size_t end = in.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    const bool other = in.size() >= 5 && !in.starts_with("HTTP/");
+    return other || in.size() > kMostHead ? std::optional(Result::kConnectFailed) : std::nullopt;
+  }
+  if (!in.starts_with("HTTP/1.") || in.size() < 12 || in[8] != ' ') return Result::kConnectFailed;
+  const std::string status = in.substr(9, 3);
+  in.erase(0, end + 4);
+  if (status[0] == '2') return Result::kServed;
+  const bool of_host = status == "502" || status == "504";
+  return of_host ? Result::kConnectFailed : Result::kRejected;
+}
+
+}  // namespace meadowyard
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -19,7 +19,8 @@
                 [this](const std::string& host, bool out) {
                   maintained.emplace_back(host, out);
                   return host != "nobody";
-                }}) {}
+                },
+                nullptr, nullptr}) {}
   unsigned Ask(const std::string& text) {
     Client client(io, server.address());
     client.Send(text);
