Play tunnels in the lab: drains at random moments, a new version under streams, their cost

Tunnels had tests but no run at the user's size. The lab has servers that echo or send without end, SOCKS5 clients and three verbs: tunnel-drains, tunnel-upgrade, tunnel-cost.

Mended on the way, all found in reading: a planned end waited for open tunnels alone, so that a handshake under way was lost beside a new version; a pool that left the file could go while tunnels of the process before were counted at it; a platform's file with a class of the tunnels' name is turned down whole.

--- a/src/app/edge_service.cpp
+++ b/src/app/edge_service.cpp
@@ -54,8 +54,11 @@
     core.Report(std::move(news));
   }
 
+  bool empty() const { return core.empty() && adopted == 0; }
+
   TunnelDialer dialer;
   Gateway core;
+  int adopted = 0;  // tunnels that the process before this one opened
 };
 
 EdgeService::EdgeService(boost::asio::io_context& io, std::shared_ptr<const EdgeConfig> config,
@@ -80,7 +83,7 @@
                                 [](const EdgePool& pool) { return pool.discovered; });
   const bool taken = std::any_of(settings.classes.begin(), settings.classes.end(),
                                  [&](const ClassSettings& c) { return c.name == config.tunnel.name; });
-  if (used && taken) {
+  if (taken) {
     throw EdgeError(config.path + ": tunnels.class: '" + config.tunnel.name +
                     "' is a class of the platform's settings");
   }
@@ -111,7 +114,7 @@
     const EdgePool* const spec = config.FindPool(it->first);
     if (spec != nullptr && !spec->discovered) {
       ++it;
-    } else if (it->second->core.empty()) {
+    } else if (it->second->empty()) {
       it = pools_.erase(it);
     } else {
       it++->second->Update({});  // nothing new goes there, and its tunnels end
@@ -158,8 +161,15 @@
             return listed ? "out by hand" : "gone";
           },
           [this](const std::string& pool, const std::string& host) -> std::function<void(TunnelEnd)> {
-            if (Gateway* const core = CoreOf(pool)) return core->AdoptTunnel(config_->tunnel.name, host);
-            return [](TunnelEnd) {};
+            Gateway* const core = CoreOf(pool);
+            if (core == nullptr) return [](TunnelEnd) {};
+            const auto found = pools_.find(pool);
+            int* const adopted = found == pools_.end() ? nullptr : &found->second->adopted;
+            if (adopted != nullptr) ++*adopted;
+            return [adopted, closed = core->AdoptTunnel(config_->tunnel.name, host)](TunnelEnd end) {
+              closed(end);
+              if (adopted != nullptr) --*adopted;
+            };
           },
           [](const std::string& event, const std::vector<std::pair<std::string, std::string>>& fields) {
             LogEvent(LogLevel::kInfo, event, fields);
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -168,6 +168,8 @@
 }
 
 void Service::Reload(const Config& config) {
+  if (edge_file_)
+    EdgeService::WithTunnels(config.settings, *edge_file_);  // throws before anything is changed
   file_ = config.file;
   settings_ = config.settings;
   hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
--- a/src/fronts/tunnel/tunnel_server.cpp
+++ b/src/fronts/tunnel/tunnel_server.cpp
@@ -140,7 +140,10 @@
   }
 }
 
-void TunnelServer::Closed(const std::shared_ptr<Session>& session) { sessions_.remove(session); }
+void TunnelServer::Closed(const std::shared_ptr<Session>& session) {
+  sessions_.remove(session);
+  if (emptied_ && tunnels_.empty() && sessions_.empty()) asio::post(io_, std::exchange(emptied_, nullptr));
+}
 
 void TunnelServer::Open(TunnelFacts facts, tcp::socket client, Answer answer, Tunnel::Way up,
                         Tunnel::Way down) {
@@ -178,7 +181,7 @@
                                  {"bytes_down", std::to_string(tunnel.bytes_down())},
                                  {"ms", std::to_string(static_cast<long>(Now() - facts.since))}});
   tunnels_.erase(facts.id);
-  if (emptied_ && tunnels_.empty()) asio::post(io_, std::exchange(emptied_, nullptr));
+  if (emptied_ && tunnels_.empty() && sessions_.empty()) asio::post(io_, std::exchange(emptied_, nullptr));
 }
 
 void TunnelServer::HostsChanged() {
@@ -223,7 +226,7 @@
     l->again.cancel();
   }
   emptied_ = std::move(emptied);
-  if (tunnels_.empty()) asio::post(io_, std::exchange(emptied_, nullptr));
+  if (tunnels_.empty() && sessions_.empty()) asio::post(io_, std::exchange(emptied_, nullptr));
 }
 
 void TunnelServer::CloseAll(const std::string& cause) {
--- a/src/lab/lab_main.cpp
+++ b/src/lab/lab_main.cpp
@@ -21,6 +21,7 @@
 #include "lab/fleet.hpp"
 #include "lab/relay.hpp"
 #include "lab/report.hpp"
+#include "lab/tunnels.hpp"
 #include "lab/verify.hpp"
 
 namespace {
@@ -35,6 +36,8 @@
   int pairs = 5;
   double rate = 20000, seconds = 30;
   lab::CostOptions cost;
+  lab::TunnelCostOptions tunnel_cost;
+  std::size_t trials = 200, tunnels = 500;
   bool quiet = false;
 };
 
@@ -246,6 +249,39 @@
   return 0;
 }
 
+int RunTunnelDrains(const Options& o) {
+  const lab::DrainResult r = lab::TryTunnelDrains(o.trials, o.from_seed);
+  std::printf("seed %llu: %zu trials, %zu tunnels asked for: %zu opened, %zu refused, %zu without a reply\n",
+              static_cast<unsigned long long>(o.from_seed), r.trials, r.asked, r.opened, r.refused,
+              r.unanswered);
+  std::printf(
+      "opened later than 1 s after the news: %zu; open 1 s after it: %zu; counted by the gateway: %zu of "
+      "%zu\n",
+      r.late_opens, r.outlived, r.counted, r.asked);
+  return r.good() ? 0 : 1;
+}
+
+int RunTunnelUpgrade(const Options& o) {
+  const lab::TunnelUpgradeResult r = lab::TryTunnelUpgrade(o.tunnels, o.from_seed);
+  std::printf("%zu tunnels, %.1f MB checked: %zu broken, %zu with a wrong byte, %zu with bytes missing\n",
+              r.tunnels, static_cast<double>(r.bytes) / 1e6, r.broken, r.wrong, r.short_of);
+  std::printf("passed on: %zu; the old version ended %.0f ms after SIGTERM\n", r.passed_on,
+              r.old_ended_after);
+  return r.good() ? 0 : 1;
+}
+
+int RunTunnelCost(const Options& o) {
+  const lab::TunnelCostResult r = lab::MeasureTunnelCost(o.tunnel_cost, o.from_seed);
+  for (const auto& round : r.rounds) {
+    std::printf("  tunnel %.0f MB for a second of CPU, bare relay %.0f MB; ratio %.2f\n", round.tunnel_mb,
+                round.relay_mb, round.tunnel_mb / round.relay_mb);
+  }
+  std::printf("median ratio %.2f; %.1f KiB of the process an idle tunnel\n", r.ratio, r.idle_kb);
+  std::printf("%zu tunnels at once: %.1f MB when all were open, %.1f MB after %.0f s with traffic\n", r.held,
+              r.held_mb, r.held_mb_after, o.tunnel_cost.hold_seconds);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -303,6 +339,17 @@
   cost->add_option("--connections", o.cost.connections, "kept")->check(CLI::Range(1, 1000));
   cost->add_option("--repeats", o.cost.repeats, "rounds")->check(CLI::Range(1, 100));
   cost->add_option("--program", o.cost.program, "the gateway's command");
+  auto* const drains = add("tunnel-drains", "drains at random moments of tunnels' lives", RunTunnelDrains);
+  drains->add_option("--trials", o.trials, "how many")->check(CLI::Range(1, 100000));
+  drains->add_option("--seed", o.from_seed, "of the moments");
+  auto* const upgrade = add("tunnel-upgrade", "a new version under checked streams", RunTunnelUpgrade);
+  upgrade->add_option("--tunnels", o.tunnels, "open at once")->check(CLI::Range(1, 2900));
+  auto* const tunnel_cost =
+      add("tunnel-cost", "bytes a second of CPU beside a bare relay, memory", RunTunnelCost);
+  tunnel_cost->add_option("--megabytes", o.tunnel_cost.megabytes, "each round")->check(CLI::Range(1, 100000));
+  tunnel_cost->add_option("--repeats", o.tunnel_cost.repeats, "rounds")->check(CLI::Range(1, 100));
+  tunnel_cost->add_option("--held", o.tunnel_cost.held, "open at once")->check(CLI::Range(1, 2900));
+  tunnel_cost->add_option("--hold-s", o.tunnel_cost.hold_seconds, "how long")->check(CLI::Range(1.0, 3600.0));
   auto* const faulty =
       add("faulty-gateway", "a gateway that breaks a rule, for the referee's own test", nullptr);
   faulty->add_option("--fault", o.fault, "duplicate, lose, drain, hold, twice, swap or flood");
--- a/src/operations/live_settings.cpp
+++ b/src/operations/live_settings.cpp
@@ -11,8 +11,8 @@
 void LiveSettings::Reload() {
   try {
     const Config config = LoadConfig(variable_, in_force_.get());
-    in_force_ = config.file;
     handlers_.taken(config);
+    in_force_ = config.file;
   } catch (const std::exception& error) {
     handlers_.turned_down(error.what());
   }
