Give the lab a parent proxy and servers with habits; keep its ports apart from outgoing ones

tunnel-drains knew only hosts that echo and no parent. Now they echo, swallow, sip or say nothing, each client sends 20 kB with the end of its handshake, and half of what is taken out by hand lies behind a stand-in parent that is silent or refuses at times.

--- a/src/lab/lab_main.cpp
+++ b/src/lab/lab_main.cpp
@@ -251,13 +251,15 @@
 
 int RunTunnelDrains(const Options& o) {
   const lab::DrainResult r = lab::TryTunnelDrains(o.trials, o.from_seed);
-  std::printf("seed %llu: %zu trials, %zu tunnels asked for: %zu opened, %zu refused, %zu without a reply\n",
-              static_cast<unsigned long long>(o.from_seed), r.trials, r.asked, r.opened, r.refused,
-              r.unanswered);
   std::printf(
-      "opened later than 1 s after the news: %zu; open 1 s after it: %zu; counted by the gateway: %zu of "
-      "%zu\n",
-      r.late_opens, r.outlived, r.counted, r.asked);
+      "seed %llu: %zu trials, %zu of them behind a parent proxy (silent %zu times, refused %zu times)\n",
+      static_cast<unsigned long long>(o.from_seed), r.trials, r.far, r.parent_silent, r.parent_refused);
+  std::printf("%zu tunnels asked for: %zu opened, %zu refused, %zu without a reply\n", r.asked, r.opened,
+              r.refused, r.unanswered);
+  std::printf("opened later than 1 s after the news: %zu; open 1 s after it: %zu\n", r.late_opens,
+              r.outlived);
+  std::printf("counted by the gateway: %zu of %zu asked, %zu of %zu ended\n", r.counted, r.asked, r.ended,
+              r.opened);
   return r.good() ? 0 : 1;
 }
 
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -20,6 +20,8 @@
 namespace meadowyard::lab {
 namespace {
 
+constexpr int kFirstPort = 20000, kPorts = 10000;
+
 sockaddr_in Loopback(int port) {
   sockaddr_in at{};
   at.sin_family = AF_INET;
@@ -129,15 +131,21 @@
   return last.empty() ? "it wrote nothing" : last;
 }
 
+// Below the ports that the kernel gives to outgoing connections: one of those could take the port before it
+// is listened at. Where all are taken, any.
 std::string FreeAddress() {
-  const Fd probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  sockaddr_in at = Loopback(0);
-  socklen_t size = sizeof at;
-  if (::bind(probe.fd, reinterpret_cast<sockaddr*>(&at), size) != 0 ||
-      ::getsockname(probe.fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) {
-    throw std::runtime_error("no free loopback port");
+  static int next = kFirstPort + static_cast<int>(::getpid()) * 37 % kPorts;
+  for (int tries = 0; tries <= kPorts; ++tries) {
+    const Fd probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at = Loopback(tries == kPorts ? 0 : next);
+    next = next + 1 < kFirstPort + kPorts ? next + 1 : kFirstPort;
+    socklen_t size = sizeof at;
+    if (::bind(probe.fd, reinterpret_cast<sockaddr*>(&at), size) == 0 &&
+        ::getsockname(probe.fd, reinterpret_cast<sockaddr*>(&at), &size) == 0) {
+      return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+    }
   }
-  return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+  throw std::runtime_error("no free loopback port");
 }
 
 int Ask(const std::string& address, const std::string& path, Millis most) {
--- a/src/lab/tunnel_bed.cpp
+++ b/src/lab/tunnel_bed.cpp
@@ -1,9 +1,13 @@
 #include "lab/tunnel_bed.hpp"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <filesystem>
 #include <fstream>
@@ -33,7 +37,8 @@
 }  // namespace
 
 struct TunnelTarget::Guest : std::enable_shared_from_this<Guest> {
-  Guest(tcp::socket s, std::shared_ptr<Visit> v) : socket(std::move(s)), visit(std::move(v)) {}
+  Guest(tcp::socket s, std::shared_ptr<Visit> v)
+      : socket(std::move(s)), visit(std::move(v)), pause(socket.get_executor()) {}
   void Echo() {
     socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](error_code ec, std::size_t n) {
       if (ec) return self->Leave();
@@ -48,6 +53,28 @@
       ec ? self->Leave() : self->Send();
     });
   }
+  // Takes all, and says nothing.
+  void Swallow() {
+    socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](error_code ec, std::size_t) {
+      ec ? self->Leave() : self->Swallow();
+    });
+  }
+  // Whether the other side has closed, however much of what it sent is unread.
+  bool Gone() {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+           info.tcpi_state != TCP_ESTABLISHED;
+  }
+  // Takes so many bytes every 50 ms.
+  void Sip(std::size_t most) {
+    if (Gone()) return Leave();
+    if (most > 0) ::recv(socket.native_handle(), piece.data(), most, MSG_DONTWAIT);
+    pause.expires_after(Wait(50));
+    pause.async_wait([self = shared_from_this(), most](error_code ec) {
+      if (!ec) self->Sip(most);
+    });
+  }
   void Leave() {
     error_code ignored;
     socket.close(ignored);
@@ -55,6 +82,7 @@
   }
   tcp::socket socket;
   std::shared_ptr<Visit> visit;
+  asio::steady_timer pause;
   std::array<char, 16384> piece;
 };
 
@@ -74,7 +102,13 @@
     visits_.push_back(std::make_shared<Visit>());
     visits_.back()->came = Clock();
     const auto guest = std::make_shared<Guest>(std::move(socket), visits_.back());
-    habit_ == Habit::kEcho ? guest->Echo() : guest->Send();
+    switch (habit_) {
+      case Habit::kEcho: guest->Echo(); break;
+      case Habit::kSource: guest->Send(); break;
+      case Habit::kSink: guest->Swallow(); break;
+      case Habit::kSlow: guest->Sip(128); break;
+      case Habit::kSilent: guest->Sip(0); break;
+    }
     Accept();
   });
 }
@@ -127,8 +161,8 @@
   });
 }
 
-TunnelBed::TunnelBed(asio::io_context& io, const std::string& name, std::size_t targets,
-                     TunnelTarget::Habit habit)
+TunnelBed::TunnelBed(asio::io_context& io, const std::string& name,
+                     const std::vector<TunnelTarget::Habit>& habits, const ParentProxy* parent)
     : io_(io),
       folder_((fs::temp_directory_path() / fmt::format("meadowyard-{}-{}", name, ::getpid())).string()),
       discovery_(io, Prompt(), 1, ledger_),
@@ -136,15 +170,27 @@
       listener_(FreeAddress()) {
   fs::create_directories(folder_);
   std::string edge =
-      "[tunnels]\nclass = \"tunnel\"\nmost = 3000\nhandshakes = 3000\n[[listener]]\nprotocol = \"socks5\"\n";
+      "[tunnels]\nclass = \"tunnel\"\nmost = 3000\nhandshakes = 3000\nparent_ms = "
+      "250\n[[listener]]\nprotocol = \"socks5\"\n";
   edge += "address = \"" + listener_ + "\"\n[[pool]]\nname = \"fleet\"\ndiscovered = true\n";
-  for (std::size_t i = 0; i < targets; ++i) {
+  for (std::size_t i = 0; i < habits.size(); ++i) {
     ledger_.hosts.push_back("h" + std::to_string(i));
-    targets_.push_back(std::make_unique<TunnelTarget>(io, habit));
+    targets_.push_back(std::make_unique<TunnelTarget>(io, habits[i]));
     discovery_.Put(static_cast<int>(i), MemberOf(i, "up"));
     edge += fmt::format(
         "[[route]]\nname = \"h{0}\"\nto = \"h{0}.internal\"\npool = \"fleet\"\nhost = \"h{0}\"\n", i);
   }
+  if (parent != nullptr) {
+    edge += fmt::format("[[pool]]\nname = \"far\"\nparent = {{ protocol = \"socks5\", address = \"{}\" }}\n",
+                        parent->address());
+    for (std::size_t i = 0; i < habits.size(); ++i) {
+      edge += fmt::format("[[pool.host]]\nid = \"f{}\"\naddress = \"{}\"\n", i, targets_[i]->address());
+    }
+    for (std::size_t i = 0; i < habits.size(); ++i) {
+      edge += fmt::format(
+          "[[route]]\nname = \"f{0}\"\nto = \"f{0}.internal\"\npool = \"far\"\nhost = \"f{0}\"\n", i);
+    }
+  }
   std::ofstream(folder_ + "/edge.toml") << edge << "[default]\npool = \"fleet\"\n";
   Experiment e;
   ClassSpec c;
--- a/src/lab/tunnel_bed.hpp
+++ b/src/lab/tunnel_bed.hpp
@@ -13,15 +13,17 @@
 #include <vector>
 
 #include "lab/discovery_stand_in.hpp"
+#include "lab/parent_proxy.hpp"
 #include "lab/process.hpp"
 #include "lab/records.hpp"
 
 namespace meadowyard::lab {
 
-// A server that gives back what it gets, or sends without end, and remembers when connections came and went.
+// A server with a habit (gives back what it gets; sends without end; takes all and says nothing; takes a
+// little at a time; neither reads nor writes), which remembers when connections came and went.
 class TunnelTarget {
  public:
-  enum class Habit { kEcho, kSource };
+  enum class Habit { kEcho, kSource, kSink, kSlow, kSilent };
   struct Visit {
     Millis came = 0, went = 0;  // 0: it is still there
   };
@@ -63,8 +65,10 @@
 
 class TunnelBed {
  public:
-  TunnelBed(boost::asio::io_context& io, const std::string& name, std::size_t targets,
-            TunnelTarget::Habit habit);
+  // One target for each habit. With a parent, "fN.internal" goes to host fN of the pool "far": target N
+  // again, which only the parent proxy reaches.
+  TunnelBed(boost::asio::io_context& io, const std::string& name,
+            const std::vector<TunnelTarget::Habit>& habits, const ParentProxy* parent = nullptr);
   ~TunnelBed();
 
   // Starts a version and waits until it serves; throws std::runtime_error with its last line if it does not.
--- a/src/lab/tunnels.cpp
+++ b/src/lab/tunnels.cpp
@@ -19,10 +19,11 @@
 using boost::system::error_code;
 using nlohmann::json;
 
-constexpr Millis kDrainLimit = 1050;  // 1 s, and 50 ms for the way
-constexpr std::size_t kAtOnce = 10;   // trials of a round, each with a host of its own
-constexpr std::size_t kClients = 5;   // of each trial
-constexpr Millis kNewsWithin = 150;   // of a round's start
+constexpr Millis kDrainLimit = 1050;   // 1 s, and 50 ms for the way
+constexpr std::size_t kAtOnce = 10;    // trials of a round, each with a host of its own
+constexpr std::size_t kEarly = 20000;  // of data that each client sends with the end of its handshake
+constexpr std::size_t kClients = 5;    // of each trial
+constexpr Millis kNewsWithin = 150;    // of a round's start
 constexpr Millis kRound = kNewsWithin + kDrainLimit + 250;
 constexpr std::size_t kPiece = 2048;  // of a checked stream
 constexpr Millis kPieceEvery = 100;
@@ -38,22 +39,35 @@
 enum class News { kByHand, kDraining, kGone };
 
 struct Trial {
+  std::string id() const { return (far ? "f" : "h") + std::to_string(host); }
+
   std::size_t host = 0, visits_before = 0;
+  bool far = false;  // behind the parent proxy
   News news = News::kByHand;
   Millis told = 0;
   std::vector<std::shared_ptr<TunnelClient>> clients;
 };
 
+// What the gateway says became of those that asked: each where it was opened or refused.
 std::size_t Counted(TunnelBed& bed) {
-  const json figures = json::parse(bed.Get("/status/metrics"));
-  const json& tunnel = figures["transactions"]["tunnel"];
-  return tunnel["answered"].get<std::size_t>() + tunnel["deferred"].get<std::size_t>() +
-         tunnel["errored"].get<std::size_t>();
+  const json asked = json::parse(bed.Get("/status/tunnels"))["asked"];
+  std::size_t all = 0;
+  for (const char* what : {"opened", "turned_away", "unreachable", "overdue"})
+    all += asked.value(what, std::size_t{0});
+  return all;
+}
+
+// Of those opened, what became of them.
+std::size_t Ended(TunnelBed& bed) {
+  const json status = json::parse(bed.Get("/status/tunnels"));
+  std::size_t all = 0;
+  for (const auto& [cause, n] : status["ended"].items()) all += n.get<std::size_t>();
+  return all;
 }
 
 // A client whose handshake comes in three pieces.
 void Ask(asio::io_context& io, TunnelBed& bed, Trial& trial, Random& random, DrainResult& result) {
-  const std::string call = TunnelClient::Call("h" + std::to_string(trial.host) + ".internal");
+  const std::string call = TunnelClient::Call(trial.id() + ".internal");
   std::size_t first = random.Below(call.size()) + 1, second = random.Below(call.size()) + 1;
   if (second < first) std::swap(first, second);
   const Millis start = random.Between(0, 80), pause = random.Between(0, 30);
@@ -70,15 +84,15 @@
     trial.clients.push_back(client);
     client->Say(call.substr(0, first));
     After(io, pause, [client, call, first, second] { client->Say(call.substr(first, second - first)); });
-    After(io, 2 * pause, [client, call, second] { client->Say(call.substr(second)); });
+    After(io, 2 * pause,
+          [client, call, second] { client->Say(call.substr(second) + std::string(kEarly, 'x')); });
   });
 }
 
 void Tell(TunnelBed& bed, Trial& trial) {
-  const std::string id = "h" + std::to_string(trial.host);
   if (trial.news != News::kByHand)
     return bed.Phase(trial.host, trial.news == News::kDraining ? "draining" : "removed");
-  bed.Put("/maintenance/enter?target=" + id);
+  bed.Put("/maintenance/enter?target=" + trial.id());
   trial.told = Clock();
 }
 
@@ -188,7 +202,14 @@
 
 DrainResult TryTunnelDrains(std::size_t trials, std::uint64_t seed) {
   asio::io_context io(1);
-  TunnelBed bed(io, "drains", kAtOnce, TunnelTarget::Habit::kEcho);
+  const ParentProxy parent(io, {true, 0.1, 0.1}, seed);
+  using Habit = TunnelTarget::Habit;
+  std::vector<Habit> habits;
+  for (std::size_t i = 0; i < kAtOnce; ++i) {
+    constexpr Habit kAll[] = {Habit::kEcho, Habit::kSink, Habit::kSlow, Habit::kSilent};
+    habits.push_back(kAll[i % std::size(kAll)]);
+  }
+  TunnelBed bed(io, "drains", habits, &parent);
   const auto gateway = bed.Start();
   DrainResult result;
   Random random(seed, "tunnel drains");
@@ -200,6 +221,8 @@
       trial.host = i;
       trial.visits_before = bed.target(i).visits().size();
       trial.news = static_cast<News>(random.Below(3));
+      trial.far = trial.news == News::kByHand && random.Chance(0.5);  // discovery knows nothing of those
+      result.far += trial.far;
       for (std::size_t k = 0; k < kClients; ++k) Ask(io, bed, trial, random, result);
       After(io, random.Between(0, kNewsWithin), [&bed, &trial] { Tell(bed, trial); });
     }
@@ -207,7 +230,7 @@
     for (Trial& trial : round) {
       JudgeTrial(bed, trial, start, result);
       for (const auto& client : trial.clients) client->Close();
-      if (trial.news == News::kByHand) bed.Put("/maintenance/exit?target=h" + std::to_string(trial.host));
+      if (trial.news == News::kByHand) bed.Put("/maintenance/exit?target=" + trial.id());
       if (trial.news != News::kByHand) bed.Phase(trial.host, "up");
     }
     result.trials += round.size();
@@ -215,12 +238,15 @@
   }
   bed.Until(3000, [&] { return Counted(bed) >= result.asked; });
   result.counted = Counted(bed);
+  result.ended = Ended(bed);
+  result.parent_silent = parent.silent();
+  result.parent_refused = parent.refused();
   return result;
 }
 
 TunnelUpgradeResult TryTunnelUpgrade(std::size_t tunnels, std::uint64_t) {
   asio::io_context io(1);
-  TunnelBed bed(io, "tunnel-upgrade", 4, TunnelTarget::Habit::kEcho);
+  TunnelBed bed(io, "tunnel-upgrade", std::vector(4, TunnelTarget::Habit::kEcho));
   auto before = bed.Start();
   const auto streams = OpenStreams(io, bed, tunnels);
   bool flowing = true;
@@ -262,7 +288,7 @@
   const double bytes = static_cast<double>(options.megabytes) * 1e6;
   {
     asio::io_context io(1);
-    TunnelBed bed(io, "tunnel-cost", 2, TunnelTarget::Habit::kSource);
+    TunnelBed bed(io, "tunnel-cost", std::vector(2, TunnelTarget::Habit::kSource));
     const auto gateway = bed.Start();
     const RelayProcess relay({bed.target(0).address(), bed.target(1).address()}, LinkSpec(), seed, false);
     std::vector<double> ratios;
@@ -284,7 +310,7 @@
     result.ratio = ratios[ratios.size() / 2];
   }
   asio::io_context io(1);
-  TunnelBed bed(io, "tunnel-hold", 4, TunnelTarget::Habit::kEcho);
+  TunnelBed bed(io, "tunnel-hold", std::vector(4, TunnelTarget::Habit::kEcho));
   const auto gateway = bed.Start();
   OpenStreams(io, bed, 50).front()->client->Close();  // what is there once
   const double bare = UsageOf(gateway->pid()).resident_kb;
--- a/src/lab/tunnels.hpp
+++ b/src/lab/tunnels.hpp
@@ -19,8 +19,11 @@
   std::size_t unanswered = 0;  // clients without a reply
   std::size_t late_opens = 0;  // connections that came to a host later than 1 s after the news
   std::size_t outlived = 0;    // tunnels that were open 1 s after it
-  std::size_t counted = 0;     // by the gateway's figures, each where it ended
-  bool good() const { return unanswered + late_opens + outlived == 0 && counted == asked; }
+  std::size_t counted = 0;     // by the gateway, as opened or refused
+  std::size_t ended = 0;       // by the gateway, of those opened
+  std::size_t far = 0;         // trials behind the parent proxy
+  std::size_t parent_silent = 0, parent_refused = 0;
+  bool good() const { return unanswered + late_opens + outlived == 0 && counted == asked && ended == opened; }
 };
 DrainResult TryTunnelDrains(std::size_t trials, std::uint64_t seed);
 
