--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -3,7 +3,9 @@
 #define MEADOWYARD_TESTS_PROCESS_HPP_
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +19,24 @@
 
 namespace meadowyard::testing {
 
+// A loopback port that is free now, below those that the kernel gives to outgoing connections: one of these
+// could take it before the program listens there.
+inline unsigned short FreePortNumber() {
+  constexpr int kFirst = 10000, kPorts = 9000;
+  static int next = static_cast<int>(getpid()) * 37 % kPorts;
+  for (int tries = 0; tries < kPorts; ++tries) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<unsigned short>(kFirst + next++ % kPorts));
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const bool free = bind(probe, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+    close(probe);
+    if (free) return ntohs(at.sin_port);
+  }
+  return 0;
+}
+
 class Process {
  public:
   // Starts the program with the variables given; its standard error goes to a file.
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -54,11 +54,7 @@
 TEST(Program, AnswersItsWorkOnSigtermAndExitsCleanly) {
   asio::io_context io;
   Peer host(io), discovery(io);
-  tcp::endpoint listen;
-  {  // a port that is free now
-    tcp::acceptor probe(io, Loopback());
-    listen = probe.local_endpoint();
-  }
+  const tcp::endpoint listen = Loopback(FreePortNumber());
   const nlohmann::json config = {
       {"seed", "1f"}, {"known", List(1, true, {Member("h0", host.address())})}, {"settings", TestSettings()}};
   const File file(config.dump());
@@ -138,10 +134,7 @@
                     .c_str());
     rmdir(folder.c_str());
   }
-  tcp::endpoint FreePort() {
-    tcp::acceptor probe(io, Loopback());
-    return probe.local_endpoint();
-  }
+  tcp::endpoint FreePort() { return Loopback(FreePortNumber()); }
   void Write(const std::string& text) const { std::ofstream(folder + "/config.json") << text; }
 
   struct Version {
--- a/tests/tunnel_process_test.cpp
+++ b/tests/tunnel_process_test.cpp
@@ -41,10 +41,7 @@
     }
     rmdir(folder.c_str());
   }
-  tcp::endpoint FreePort() {
-    tcp::acceptor probe(io, Loopback());
-    return probe.local_endpoint();
-  }
+  tcp::endpoint FreePort() { return Loopback(FreePortNumber()); }
   // Starts a version and waits until it serves.
   std::unique_ptr<Process> Start() {
     const tcp::endpoint admin = FreePort();
