Keep one client's claims, and a fleet that failed, from binding all others

- whoever marked all its requests as further tries was within its tenant's share without end (queues.hpp InShare returned before the bucket was asked); a mark counted where the settings say that nobody marks.
Further tries have a bucket of the tenant's size of their own now.
- where nobody marks, one long deadline had usual clients with less time refused at once (policy.cpp On(Request), most_left a maximum without end).
The guess follows the longest slowly and puts last; it turns nobody away.
- a deadline beyond the class's held a place for as long (600 s): cut to the class's.
- a client with hardly any time had each server left out and the rate cut for all (LearnFrom): a time-out after less than twice the class's latency, or half its aim, tells nothing.
- a further try that no server might take held up its whole class (FirstToGo).
- an attempt that was never sent kept its token; a stream of an attempt that had ended marked a waiting request as answered.

Tried and ruled out: credit of a class whose only request left (capped, and changes nothing while it has none); a displaced request is answered before the one that displaced it is queued, once; duplicate outcomes change nothing.

--- a/src/decision/picker.hpp
+++ b/src/decision/picker.hpp
@@ -36,20 +36,25 @@
   Backend* Pick(const Flow& flow) {
     const bool repeatable = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
+    Backend* trial = nullptr;
+    bool trusted = false;
     candidates_.clear();
     for (auto& [id, b] : servers_) {
       // One limited to a single server goes there whatever the subset, and again.
       if (!b.up || (flow.only != 0 ? (b.hash | 1) != flow.only : !b.mine || &b == last) || !Allowed(flow, b))
         continue;
       if (flow.holds && set_.most_held > 0 && b.held + b.in_flight >= set_.most_held) continue;
-      // A suspect returns by one trial at a time, with a request that may run again.
+      // A suspect returns by one trial at a time, with a request that may run again; with any where nobody is
+      // trusted, for else it would never return where none may.
       if (b.suspect) {
-        if (repeatable && now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) return &b;
+        if (now_ >= b.next_trial && b.in_flight == 0 && WithinBudget(b)) trial = &b;
+        if (repeatable && trial != nullptr) return trial;
         continue;
       }
+      trusted = true;
       if (Ready(b, flow.in_share)) candidates_.push_back({0, &b});
     }
-    if (candidates_.empty()) return nullptr;
+    if (candidates_.empty()) return trusted || !flow.attempts.empty() ? nullptr : trial;
     // A hall that has gone fails one dial after another: the next try goes elsewhere, if there is an
     // elsewhere.
     if (last != nullptr && flow.attempts.back().unreached) {
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -12,13 +12,14 @@
 namespace meadowyard {
 namespace {
 
-constexpr Millis kSweepEvery = 10;       // ms between sweeps: queue expiry
-constexpr double kSlow = 0.01;           // weight of a new sample in a class's latency
-constexpr double kRetryShare = 0.1;      // further attempts earned by each first one
-constexpr double kRetryBurst = 20;       // further attempts that may be saved up
-constexpr double kFirstLeft = 0.05;      // weight of a first try in the time that first tries have left
-constexpr double kFirstTry = 0.95;       // part of the most time left below which it is a further try
-constexpr Millis kOldClass = 1500;       // ms that a class is taken after it was changed or dropped
+constexpr Millis kSweepEvery = 10;   // ms between sweeps: queue expiry
+constexpr double kSlow = 0.01;       // weight of a new sample in a class's latency
+constexpr double kRetryShare = 0.1;  // further attempts earned by each first one
+constexpr double kRetryBurst = 20;   // further attempts that may be saved up
+constexpr double kFirstLeft = 0.04;  // weight of a first try in the time that first tries have left
+constexpr double kFirstTry = 0.95;   // part of the most time left below which it is a further try
+constexpr double kEnough = 2;        // of a class's latency: a time-out after less tells little of a server
+constexpr Millis kOldClass = 1500;   // ms that a class is taken after it was changed or dropped
 constexpr Millis kLeastRetryAfter = 10;  // ms; "at once" would be no advice
 
 }  // namespace
@@ -121,25 +122,25 @@
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
     arriving_ += 1 / kLongMemory;
-    const Millis left = std::isfinite(r.time_left) ? std::max(0.0, r.time_left) : 0.0;
+    // A client that claims more than its class allows must not hold a place for as long.
+    const Millis left = std::isfinite(r.time_left) ? std::clamp(r.time_left, 0.0, c.set.deadline) : 0.0;
     flow.leaves_at = now_ + left;
     // A further try has less time left than a first one. If its aim is long past, it is worth as little
     // as what a tenant sends beyond its share: a jam would feed on answers that come too late.
     // Where clients mark further tries none else is one, and what first tries have left is their mean: a
-    // single client with more time than is usual must not make all others look late.
-    if (!set_.marks_retry) {
-      c.most_left = std::max(c.most_left, left);
-    } else if (!r.retry) {
-      c.most_left += (c.most_left > 0 ? kFirstLeft : 1) * (std::min(left, c.set.deadline) - c.most_left);
-    }
-    const bool further = set_.marks_retry ? r.retry : true;
+    // single client with more time than is usual must not make all others look late. Elsewhere it is a guess
+    // from all tries, which follows the longest; a guess has nobody turned away.
+    const bool marked = set_.marks_retry && r.retry;
+    const double weight = left > c.most_left || set_.marks_retry ? kFirstLeft : kFirstLeft / 4;
+    if (!marked) c.most_left += (c.most_left > 0 ? weight : 1) * (left - c.most_left);
+    const bool further = marked || !set_.marks_retry;
     const Millis spent = further && left < kFirstTry * c.most_left ? std::max(0.0, c.set.deadline - left) : 0;
     const bool late = spent >= c.set.aim;
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
-    flow.in_share = !late && InShare(r.tenant, r.retry);
+    flow.in_share = !late && InShare(r.tenant, marked);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
-    if (late && c.set.late_worth <= 0) return Answer(flow);           // worth nothing any more
-    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);  // no sweep may come in time
+    if (late && marked && c.set.late_worth <= 0) return Answer(flow);  // worth nothing any more
+    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);   // no sweep may come in time
     if (queued_ == 0 && tokens_ > 0 && Room()) {
       if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
     }
@@ -161,8 +162,9 @@
     b.in_flight += !flow.coming;  // what is still coming is no work yet
     ++out_now_;
     ++b.refs;
-    flow.attempts.push_back({&b, now_, true, true, false, !flow.coming, false, false});
-    Emit(Send{flow.id, b.info.id, std::max(1.0, until - now_)});
+    const Millis timeout = std::max(1.0, until - now_);
+    flow.attempts.push_back({&b, now_, timeout, true, true, false, !flow.coming, false, false});
+    Emit(Send{flow.id, b.info.id, timeout});
   }
 
   void On(Outcome o) {
@@ -179,6 +181,7 @@
     Backend& b = *attempt.server;
     b.in_flight -= std::exchange(attempt.loads, false);
     attempt.held ? --b.held : --out_now_;
+    if (o.result == Result::kNotSent) tokens_ += 1;  // it bought nothing
     // How long a tunnel lives says nothing of its server; that it broke at its beginning does.
     if (!attempt.streams || (attempt.held && o.result == Result::kReset)) LearnFrom(b, flow, o);
     if (o.finished || o.result == Result::kServed) flow.answered = true;
@@ -189,6 +192,11 @@
   void LearnFrom(Backend& b, const Flow& flow, const Outcome& o) {
     if (o.result == Result::kServed) LearnClass(classes_[flow.cls], o.latency);
     if (o.result == Result::kCancelled || o.result == Result::kNotSent) return;  // nothing of the server
+    // Nor does it say much that an attempt ran out of a time in which few are answered: a client with hardly
+    // any would have every server left out, and the rate cut for all.
+    const Tier& c = classes_[flow.cls];
+    const Millis enough = std::min(kEnough * c.latency, c.set.aim / 2);
+    if (o.result == Result::kTimedOut && flow.attempts[o.attempt].timeout < enough) return;
     MoveRate(b, flow, o);  // first: by whether the server was held ready until now
     Hear(b, o.load);
     Judge(b, flow, o);
@@ -255,11 +263,11 @@
   // how long the client takes to read it says nothing of the server.
   void On(const StreamStarted& s) {
     Flow* const flow = Find(s.request);
-    if (flow == nullptr) return;
-    flow->answered = true;
-    if (s.attempt < 0 || s.attempt >= static_cast<int>(flow->attempts.size()) || !(s.latency > 0)) return;
+    if (flow == nullptr || s.attempt < 0 || s.attempt >= static_cast<int>(flow->attempts.size())) return;
     Attempt& attempt = flow->attempts[s.attempt];
-    if (!attempt.out || std::exchange(attempt.streams, true)) return;
+    if (!attempt.out) return;
+    flow->answered = true;
+    if (!(s.latency > 0) || std::exchange(attempt.streams, true)) return;
     attempt.server->in_flight -= std::exchange(attempt.loads, false);
     if (flow->holds) attempt.held = true, ++attempt.server->held, --out_now_;
     Outcome begun;  // served, as far as the server goes
--- a/src/decision/queues.hpp
+++ b/src/decision/queues.hpp
@@ -17,18 +17,21 @@
 class Queues : protected Rate {
  protected:
   // A share is of what is asked for once. Further tries take nothing of it: a tenant within its share that
-  // was refused would seem to be beyond it, and be refused the more.
+  // was refused would seem to be beyond it, and be refused the more. They have a bucket of the same size, or
+  // whoever calls all tries further ones would have no bound.
   bool InShare(const std::string& tenant, bool retry) {
     if (tenants_.empty()) return true;
     const auto it = tenants_.find(tenant);
     if (it == tenants_.end()) return false;  // an unknown tenant has no share
     Tenant& t = it->second;
     if (t.per_ms <= 0) return true;
-    if (retry) return t.within >= kWithin;
-    t.tokens = std::min(t.tokens + (now_ - t.at) * t.per_ms, std::max(kShareBurst, t.per_ms * 1000));
-    t.at = now_;
-    const bool in_share = t.tokens >= 1;
-    if (in_share) t.tokens -= 1;
+    Tenant::Bucket& bucket = retry ? t.further : t.first;
+    const double full = std::max(kShareBurst, t.per_ms * 1000);
+    bucket.tokens = std::min(bucket.tokens + (now_ - bucket.at) * t.per_ms, full);
+    bucket.at = now_;
+    const bool in_share = bucket.tokens >= 1;
+    if (in_share) bucket.tokens -= 1;
+    if (retry) return in_share && t.within >= kWithin;
     t.within += kWithinMemory * ((in_share ? 1.0 : 0.0) - t.within);
     return in_share;
   }
@@ -101,12 +104,12 @@
     return {};
   }
 
-  // The head of a class's queues with a server for it. One that waits for a single server holds nobody up.
+  // The head of a class's queues with a server for it. One that not every server may take holds nobody up.
   Released FirstToGo(Tier& c) {
     for (auto* line : {&c.retries, &c.in_share, &c.over_share}) {
       for (Flow* flow : *line) {
         if (Backend* const b = Pick(*flow)) return {flow, b};
-        if (flow->only == 0) return {};
+        if (flow->only == 0 && flow->attempts.empty() && !flow->holds) return {};
       }
     }
     return {};
--- a/src/decision/state.hpp
+++ b/src/decision/state.hpp
@@ -78,6 +78,7 @@
 struct Attempt {
   Backend* server;
   Millis sent;
+  Millis timeout;
   bool out = true;
   bool may_have_run = true;
   bool unreached = false;  // no connection came up
@@ -132,9 +133,12 @@
 };
 
 struct Tenant {
+  struct Bucket {
+    double tokens = 0;
+    Millis at = 0;
+  };
   double per_ms = 0;
-  double tokens = 0;
-  Millis at = 0;
+  Bucket first, further;
   double within = 1;  // part of its first tries that was within its share, smoothed
 };
 
