--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -263,7 +263,10 @@
   Admission admits(Millis now, const std::string& class_name, Effect effect) const;
   struct Census {
     int listed = 0;
-    int avoided = 0;  // of these: left out by hand, told to drain, or not ready
+    int avoided = 0;              // of these: left out by hand, told to drain, or not ready
+    int open = 0;                 // requests that are not over, or have attempts out
+    int queued = 0;               // of these: waiting for a server or a token
+    int in_flight = 0, held = 0;  // attempts that load servers, and those that hold them
   };
   Census census() const;
   Recollection recall() const;
--- a/src/app/edge_service.cpp
+++ b/src/app/edge_service.cpp
@@ -37,9 +37,10 @@
 }  // namespace
 
 struct EdgeService::Pool {
-  Pool(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, TunnelDialer::Times times)
+  Pool(boost::asio::io_context& io, Clock& clock, const Settings& settings, std::uint64_t seed,
+       TunnelDialer::Times times)
       : dialer(io, times, [this](const std::string& host) { return core.policy().may_use(host); }),
-        core(io, settings, seed, dialer,
+        core(clock, settings, seed, dialer,
              {[] {},
               [](const std::string& text) {
                 LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
@@ -61,10 +62,11 @@
   int adopted = 0;  // tunnels that the process before this one opened
 };
 
-EdgeService::EdgeService(boost::asio::io_context& io, std::shared_ptr<const EdgeConfig> config,
+EdgeService::EdgeService(boost::asio::io_context& io, Clock& clock, std::shared_ptr<const EdgeConfig> config,
                          const Settings& settings, Millis dial, std::uint64_t seed, Fleet fleet,
                          const std::map<std::string, int>& inherited)
     : io_(io),
+      clock_(clock),
       config_(std::move(config)),
       seed_(seed),
       dial_(dial),
@@ -103,7 +105,7 @@
     auto& pool = pools_[spec.name];
     const Settings own = PoolSettings(settings, config);
     if (!pool) {
-      pool = std::make_unique<Pool>(io_, own, seed_ ^ std::hash<std::string>()(spec.name), times);
+      pool = std::make_unique<Pool>(io_, clock_, own, seed_ ^ std::hash<std::string>()(spec.name), times);
     } else {
       pool->core.Configure(own);
       pool->dialer.SetTimes(times);
--- a/src/app/edge_service.hpp
+++ b/src/app/edge_service.hpp
@@ -25,8 +25,9 @@
   };
   // Listens at once, at `inherited` sockets where the file has them. `settings` are the platform's. Throws
   // boost::system::system_error if it can't.
-  EdgeService(boost::asio::io_context& io, std::shared_ptr<const EdgeConfig> config, const Settings& settings,
-              Millis dial, std::uint64_t seed, Fleet fleet, const std::map<std::string, int>& inherited);
+  EdgeService(boost::asio::io_context& io, Clock& clock, std::shared_ptr<const EdgeConfig> config,
+              const Settings& settings, Millis dial, std::uint64_t seed, Fleet fleet,
+              const std::map<std::string, int>& inherited);
 
   ~EdgeService();
 
@@ -49,6 +50,7 @@
   Gateway* CoreOf(const std::string& pool);
 
   boost::asio::io_context& io_;
+  Clock& clock_;
   std::shared_ptr<const EdgeConfig> config_;
   const std::uint64_t seed_;
   Millis dial_;
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <utility>
 
+#include "app/memory_reserve.hpp"
 #include "app/service.hpp"
 #include "config/config.hpp"
 #include "log/log.hpp"
@@ -74,6 +75,10 @@
 }  // namespace
 
 void Serve(const std::string& edge) {
+  // A log that can't be written to is no reason to end.
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+  MemoryReserve::Keep();
   boost::asio::io_context io(1);
   boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
   auto inheritance = AskPredecessor(FindPredecessor());
@@ -112,7 +117,15 @@
     });
   };
   await_reload();
-  io.run();
+  // A handler that could not go on, for want of memory perhaps, ends alone: what it held is swept up later.
+  for (bool ended = false; !ended;) {
+    try {
+      io.run();
+      ended = true;
+    } catch (const std::exception& error) {
+      LogEvent(LogLevel::kError, "handler_failed", {{"why", error.what()}});
+    }
+  }
 }
 
 }  // namespace meadowyard
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "app/memory_reserve.hpp"
 #include "core/clock.hpp"
 #include "log/log.hpp"
 
@@ -49,7 +50,8 @@
 
 Service::Service(asio::io_context& io, const Config& config, std::optional<Inheritance> inheritance,
                  std::optional<GatewayState> state, std::shared_ptr<const EdgeConfig> edge)
-    : config_(config),
+    : clock_(io),
+      config_(config),
       file_(config.file),
       settings_(config.settings),
       edge_file_(std::move(edge)),
@@ -60,7 +62,7 @@
       dialer_(io, {config.dial_timeout, 0},
               [this](const std::string& host) { return core_.policy().may_use(host); }),
       upstream_(hosts_, dialer_),
-      core_(io, Fitted(), config.seed, upstream_,
+      core_(clock_, Fitted(), config.seed, upstream_,
             {[this] { discovery_.Watch(); },
              [](const std::string& text) {
                LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
@@ -75,7 +77,7 @@
       clients_(io,
                {config.listen, config.admin.has_value(), inheritance ? inheritance->listener.release() : -1},
                LimitsFor(budget_),
-               {[this] { return listed_ && !stopping_; },
+               {[this] { return listed_ && !stopping_; }, &MemoryReserve::Whole,
                 [this](const std::string& name, Effect effect) {
                   // Requests are never of the tunnels' class.
                   if (edge_file_ && name == edge_file_->tunnel.name) return Policy::Admission::kNoClass;
@@ -89,7 +91,8 @@
     if (inheritance) {
       for (auto& [key, socket] : inheritance->doors) doors[key] = socket.release();
     }
-    edge_.emplace(io, edge_file_, settings_, config.dial_timeout, config.seed, FleetForTunnels(), doors);
+    edge_.emplace(io, clock_, edge_file_, settings_, config.dial_timeout, config.seed, FleetForTunnels(),
+                  doors);
   }
   if (config.admin) {
     admin_.emplace(
@@ -186,7 +189,7 @@
 }
 
 EdgeService::Fleet Service::FleetForTunnels() {
-  return {&core_, &dialer_, [this] { return listed_ && !stopping_; },
+  return {&core_, &dialer_, [this] { return listed_ && !stopping_ && MemoryReserve::Whole(); },
           [this](const std::string& host) { return Unusable(host); }};
 }
 
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -81,6 +81,7 @@
   // Why nothing new may go to a host of the fleet; empty: it may.
   std::string Unusable(const std::string& host) const;
 
+  IoClock clock_;
   const Config config_;  // as at the start
   std::shared_ptr<const nlohmann::json> file_;
   Settings settings_;                            // as in the file in force
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -2,7 +2,10 @@
 #ifndef MEADOWYARD_CLOCK_HPP_
 #define MEADOWYARD_CLOCK_HPP_
 
+#include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <functional>
+#include <memory>
 
 #include "meadowyard/policy.hpp"
 
@@ -24,6 +27,30 @@
   return std::chrono::microseconds(ms > 0 ? static_cast<std::int64_t>(ms * 1000) : 0);
 }
 
+// The core's time, and what waits for it: tests bring their own.
+class Clock {
+ public:
+  // A wait that ends with it.
+  class Wait {
+   public:
+    virtual ~Wait() = default;
+  };
+  virtual ~Clock() = default;
+  virtual Millis Now() = 0;
+  // Calls `then` once, unless what it returns is gone by then.
+  virtual std::unique_ptr<Wait> After(Millis wait, std::function<void()> then) = 0;
+};
+
+class IoClock : public Clock {
+ public:
+  explicit IoClock(boost::asio::io_context& io) : io_(io) {}
+  Millis Now() override { return meadowyard::Now(); }
+  std::unique_ptr<Wait> After(Millis wait, std::function<void()> then) override;
+
+ private:
+  boost::asio::io_context& io_;
+};
+
 }  // namespace meadowyard
 
 #endif  // MEADOWYARD_CLOCK_HPP_
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -7,16 +7,12 @@
 #include <utility>
 #include <variant>
 
-#include "core/clock.hpp"
-
 namespace meadowyard {
 namespace {
 
-namespace asio = boost::asio;
-using boost::system::error_code;
-
 constexpr Millis kMargin = 10;     // before a client leaves: answers travel, and timers may come late
 constexpr Millis kLastMargin = 4;  // before it leaves: what the policy has not answered by then is failed
+constexpr Millis kTimerAgain = 10;
 constexpr double kMostLoad = 1e6;  // no host can report more of anything
 
 // "inflight=7,util=0.61" in the order of the settings' fields; what is missing is not a number. A report that
@@ -56,9 +52,9 @@
 
 }  // namespace
 
-Gateway::Gateway(asio::io_context& io, const Settings& settings, std::uint64_t seed, Upstream& upstream,
+Gateway::Gateway(Clock& clock, const Settings& settings, std::uint64_t seed, Upstream& upstream,
                  Handlers handlers)
-    : io_(io),
+    : clock_(clock),
       settings_(settings),
       policy_(settings_, seed),
       upstream_(upstream),
@@ -67,7 +63,7 @@
 }
 
 Policy::Admission Gateway::Admits(const std::string& class_name, Effect effect) {
-  return policy_.admits(Now(), class_name, effect);
+  return policy_.admits(clock_.Now(), class_name, effect);
 }
 
 void Gateway::Configure(const Settings& settings) {
@@ -88,7 +84,7 @@
     answer.kind = meadowyard::Answer::Kind::kInUse;
     return request.answer(std::move(answer));
   }
-  Flow& flow = flows_.try_emplace(request.id, io_).first->second;
+  Flow& flow = flows_.try_emplace(request.id).first->second;
   flow.call = std::make_shared<const Call>(std::move(request.call));
   flow.answer = std::move(request.answer);
   flow.class_name = request.class_name;
@@ -98,27 +94,25 @@
   flow.leaves_at = request.received + request.allowed - kMargin;
   const bool coming = flow.rest != nullptr;
   if (!coming) Count(request.id, flow);
-  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - Now(),
+  Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - clock_.Now(),
                  request.retry, coming, request.only, request.tunnel, request.effect});
 }
 
 void Gateway::Count(const std::string& id, Flow& flow) {
   flow.counted = true;
-  flow.whole_at = Now();
+  flow.whole_at = clock_.Now();
   figures_.Taken();
-  flow.overdue.expires_after(Span(flow.leaves_at + kMargin - kLastMargin - Now()));
-  flow.overdue.async_wait([this, id](error_code ec) {
-    if (!ec) Overdue(id);
-  });
+  flow.overdue =
+      clock_.After(flow.leaves_at + kMargin - kLastMargin - clock_.Now(), [this, id] { Overdue(id); });
 }
 
 void Gateway::Whole(const std::string& id) {
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return;
   flow->rest.reset();
-  flow->leaves_at = Now() + flow->allowed - kMargin;
+  flow->leaves_at = clock_.Now() + flow->allowed - kMargin;
   Count(id, *flow);
-  Report(RequestWhole{id, flow->leaves_at - Now()});
+  Report(RequestWhole{id, flow->leaves_at - clock_.Now()});
 }
 
 void Gateway::Begun(const std::string& id, std::size_t attempt, Reply reply,
@@ -126,9 +120,9 @@
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return rest->Abandon();
   flow->answered = true;
-  flow->overdue.cancel();
+  flow->overdue.reset();
   flow->call.reset();
-  const Millis latency = Now() - std::max(flow->attempts[attempt].sent, flow->whole_at);
+  const Millis latency = clock_.Now() - std::max(flow->attempts[attempt].sent, flow->whole_at);
   const auto answer = std::exchange(flow->answer, nullptr);
   answer({meadowyard::Answer::Kind::kServed, 0, std::move(reply), std::move(rest),
           [this, name = flow->class_name](bool whole) {
@@ -143,10 +137,10 @@
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return Ended(id, attempt, Result::kCancelled, {});
   flow->answered = true;
-  flow->overdue.cancel();
+  flow->overdue.reset();
   flow->call.reset();
   figures_.Sent(flow->class_name);
-  const Millis latency = Now() - flow->attempts[attempt].sent;
+  const Millis latency = clock_.Now() - flow->attempts[attempt].sent;
   const auto answer = std::exchange(flow->answer, nullptr);
   Report(StreamStarted{id, static_cast<int>(attempt), latency});
   answer({meadowyard::Answer::Kind::kServed,
@@ -194,7 +188,7 @@
                   ended.host,
                   result,
                   false,
-                  Now() - std::max(ended.sent, std::min(flow->whole_at, Now())),
+                  clock_.Now() - std::max(ended.sent, std::min(flow->whole_at, clock_.Now())),
                   ParseLoad(reply.load_report, settings_.report_fields),
                   flow->spent};
   if (result == Result::kServed && !flow->answered) {
@@ -216,29 +210,41 @@
 void Gateway::Report(Event event) {
   events_.push_back(std::move(event));
   if (reporting_) return;
+  // Whatever is thrown below, the next event finds the queue open: a gateway must not go deaf.
+  const std::unique_ptr<bool, void (*)(bool*)> reporting(&reporting_, [](bool* flag) { *flag = false; });
   reporting_ = true;
-  std::vector<Action> actions;
   while (!events_.empty()) {
-    Event next = std::move(events_.front());
+    const Event next = std::move(events_.front());
     events_.pop_front();
-    const std::string id = RequestOf(next);
-    if (auto* const outcome = std::get_if<Outcome>(&next)) {
-      const Flow* const flow = Find(id);
-      outcome->finished = flow == nullptr || flow->answered;
+    try {
+      Handle(next);
+    } catch (...) {  // out of memory, perhaps: the module's time goes on all the same
+      if (const auto* const timer = std::get_if<TimerDue>(&next)) Do(SetTimer{kTimerAgain, timer->name});
+      throw;
     }
-    actions.clear();
-    policy_.handle(Now(), next, actions);
-    for (const Action& action : actions) {
-      std::visit([this](const auto& a) { Do(a); }, action);
-    }
-    Settle(id);
   }
-  reporting_ = false;
+}
+
+void Gateway::Handle(const Event& event) {
+  const std::string id = RequestOf(event);
+  std::vector<Action> actions;
+  if (const auto* const told = std::get_if<Outcome>(&event)) {
+    Outcome outcome = *told;
+    const Flow* const flow = Find(id);
+    outcome.finished = flow == nullptr || flow->answered;
+    policy_.handle(clock_.Now(), outcome, actions);
+  } else {
+    policy_.handle(clock_.Now(), event, actions);
+  }
+  for (const Action& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  Settle(id);
 }
 
 void Gateway::Do(const Send& send) {
   Flow* const flow = Find(send.request);
-  const Millis now = Now();
+  const Millis now = clock_.Now();
   // A request that is over, or one attempt too many, is never sent, whatever was decided a moment ago.
   if (flow == nullptr || flow->answered ||
       static_cast<int>(flow->attempts.size()) >= settings_.max_attempts) {
@@ -290,10 +296,7 @@
 }
 
 void Gateway::Do(const SetTimer& timer) {
-  const auto wait = std::make_shared<asio::steady_timer>(io_, Span(timer.delay));
-  wait->async_wait([this, wait, name = timer.name](error_code ec) {
-    if (!ec) Report(TimerDue{name});
-  });
+  timers_[timer.name] = clock_.After(timer.delay, [this, name = timer.name] { Report(TimerDue{name}); });
 }
 
 void Gateway::Do(const Watch&) { handlers_.watch(); }
@@ -314,7 +317,7 @@
 
 void Gateway::End(Flow& flow, Figures::End end) {
   flow.answered = true;
-  flow.overdue.cancel();
+  flow.overdue.reset();
   flow.call.reset();  // attempts that are still out have their own
   figures_.Ended(flow.class_name, end, flow.counted);
 }
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -3,16 +3,16 @@
 #ifndef MEADOWYARD_CORE_GATEWAY_HPP_
 #define MEADOWYARD_CORE_GATEWAY_HPP_
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "core/clock.hpp"
 #include "core/figures.hpp"
 #include "core/message.hpp"
 #include "core/upstream.hpp"
@@ -26,10 +26,9 @@
     std::function<void()> watch;  // the module asks for the list of hosts
     std::function<void(const std::string& text)> log;
   };
-  // Throws std::invalid_argument naming the field when the settings can't work. `upstream` outlives the
-  // calls.
-  Gateway(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Upstream& upstream,
-          Handlers handlers);
+  // Throws std::invalid_argument naming the field when the settings can't work. `clock` and `upstream`
+  // outlive it.
+  Gateway(Clock& clock, const Settings& settings, std::uint64_t seed, Upstream& upstream, Handlers handlers);
 
   // ---- For fronts: each request that is taken gets one answer ----
   Policy::Admission Admits(const std::string& class_name, Effect effect);
@@ -62,7 +61,6 @@
   };
   // A client's request, until it is answered and all its attempts have ended.
   struct Flow {
-    explicit Flow(boost::asio::io_context& io) : overdue(io) {}
     std::shared_ptr<const Call> call;
     std::shared_ptr<BodySource> rest;  // of its body, until that is whole
     std::function<void(meadowyard::Answer)> answer;
@@ -75,7 +73,7 @@
     Millis leaves_at = 0;  // by then the policy's answer must be under way
     bool answered = false;
     std::vector<Attempt> attempts;
-    boost::asio::steady_timer overdue;
+    std::unique_ptr<Clock::Wait> overdue;
   };
 
   void Count(const std::string& id, Flow& flow);
@@ -86,6 +84,7 @@
   void Closed(const std::string& id, std::size_t attempt, TunnelEnd end);
   void Overdue(const std::string& id);
 
+  void Handle(const Event& event);
   void Do(const Send& send);
   void Do(const Refuse& refuse);
   void Do(const Fail& fail);
@@ -100,13 +99,14 @@
   void End(Flow& flow, Figures::End end);
   void Settle(const std::string& id);
 
-  boost::asio::io_context& io_;
+  Clock& clock_;
   Settings settings_;
   Policy policy_;
   Figures figures_;
   Upstream& upstream_;
   const Handlers handlers_;
   std::unordered_map<std::string, Flow> flows_;
+  std::map<std::string, std::unique_ptr<Clock::Wait>> timers_;  // the module's, by name
   std::deque<Event> events_;
   bool reporting_ = false;
 };
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -49,7 +49,11 @@
 
   Census Count() const {
     Census census;
+    census.open = static_cast<int>(flows_.size());
+    census.queued = static_cast<int>(queued_);
     for (const auto& [id, b] : servers_) {
+      census.in_flight += b.in_flight;
+      census.held += b.held;
       census.listed += b.listed;
       census.avoided += b.listed && (!b.up || b.suspect);
     }
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -179,13 +179,15 @@
   call->timer.cancel();
   call_.reset();
   if (!answer.keep_alive()) socket_.reset();
-  revision_ = list->revision;
-  handlers_.told(std::move(*list));
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
   pause_.async_wait([this, moves = moves_](error_code ec) {
     if (!ec && moves == moves_) Ask();
   });
+  // Last: news that could not be taken in is asked for again.
+  const std::int64_t revision = list->revision;
+  handlers_.told(std::move(*list));
+  revision_ = revision;
 }
 
 void Discovery::Fail(const std::shared_ptr<Call>& call) {
--- a/src/fronts/http/client_server.cpp
+++ b/src/fronts/http/client_server.cpp
@@ -45,7 +45,7 @@
 ClientServer::~ClientServer() = default;
 
 void ClientServer::Accept() {
-  if (accepting_ || !acceptor_.is_open() || pass_) return;
+  if (accepting_ || !acceptor_.is_open() || pass_ || !handlers_.room()) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     accepting_ = false;
@@ -109,15 +109,18 @@
 }
 
 void ClientServer::Sweep() {
+  sweep_.expires_after(Span(kSweepEvery));  // first: the next one comes whatever this one meets
+  sweep_.async_wait([this](error_code ec) {
+    if (!ec) Sweep();
+  });
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
     if (pass_) session->Yield();
     session->Sweep(Now());
   }
-  sweep_.expires_after(Span(kSweepEvery));
-  sweep_.async_wait([this](error_code ec) {
-    if (!ec) Sweep();
-  });
+  while (!handlers_.room() && Evict(/*idle_only=*/true)) {
+  }
+  if (!Full()) Accept();  // it may have been given up for want of memory
 }
 
 void ClientServer::StopListening() {
--- a/src/fronts/http/client_server.hpp
+++ b/src/fronts/http/client_server.hpp
@@ -28,6 +28,7 @@
   Millis idle = 10000;                  // a connection without a request is closed
   Millis answer_read = 3000;            // an answer must have been taken in by then
   Millis body_pause = 2000;             // longest time without any byte of a body that is coming
+  Millis whole_body = 10000;            // one that is held whole must have come by then
   Millis stream_pause = 10000;          // the same of a long answer that a client reads
   Millis linger = 500;                  // a client that was told of the close gets this to close first
 };
@@ -36,6 +37,7 @@
  public:
   struct Handlers {
     std::function<bool()> ready;
+    std::function<bool()> room;  // there is memory for more
     std::function<Policy::Admission(const std::string& class_name, Effect effect)> admits;
     std::function<void(ClientRequest)> taken;
     std::function<void(const std::string& id)> whole;  // the body that was still coming is whole
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -73,7 +73,7 @@
   const ClientLimits& limits = server_.limits_;
   if (phase_ == Phase::kReading) {
     if (reader_.Begun() && begun_at_ == 0) begun_at_ = answered_ == 0 ? since_ : now;
-    const bool stalled = in_body_ ? now - came_on_ > limits.body_pause
+    const bool stalled = in_body_ ? now - came_on_ > limits.body_pause || now - body_at_ > limits.whole_body
                                   : begun_at_ > 0 && now - begun_at_ > limits.whole_request;
     if (stalled) return Send(FaultPage(408, "the request is not whole"));
     if (now - since_ > (answered_ == 0 ? limits.first_request : limits.idle) && Idle()) Close();
@@ -122,7 +122,7 @@
     return Send(FaultPage(503, "no memory for the body"));
   }
   in_body_ = true;
-  came_on_ = Now();
+  came_on_ = body_at_ = Now();
   if (!boost::beast::iequals(reader_.head()[http::field::expect], "100-continue")) return ReadBody();
   asio::async_write(socket_, asio::buffer(kContinue),
                     [this, self = shared_from_this()](Error write_ec, std::size_t) {
@@ -154,6 +154,7 @@
     page.status = server_.handlers_.ready() ? 200 : 503;
     return Send(std::move(page));
   }
+  if (!server_.handlers_.room()) return Send(FaultPage(503, "no memory for a request"));
   ClientRequest request;
   if (auto fault = Check(head, server_.handlers_.admits, request)) return Send(std::move(*fault));
   request.call.body = std::exchange(body_, {});
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -82,6 +82,7 @@
   Millis begun_at_ = 0;  // when a part of a request was first seen
   Millis came_at_ = 0;   // when the next request was seen behind the one being served
   Millis came_on_ = 0;   // when a body last came on
+  Millis body_at_ = 0;   // when its first byte was waited for
   unsigned version_ = 11;
   bool keep_alive_ = true;
   bool in_body_ = false;  // a body is being read
--- a/src/fronts/tunnel/session.hpp
+++ b/src/fronts/tunnel/session.hpp
@@ -19,6 +19,7 @@
   // Handshakes that last too long, and clients that were refused and stay, are closed.
   void Sweep(Millis now);
   bool handshaking() const { return stage_ == Stage::kHandshake; }
+  bool waiting() const { return stage_ == Stage::kWaiting; }
 
  private:
   enum class Stage { kHandshake, kWaiting, kRefused, kClosed };
--- a/src/fronts/tunnel/tunnel_server.cpp
+++ b/src/fronts/tunnel/tunnel_server.cpp
@@ -115,6 +115,7 @@
     l->accepting = false;
     if (!l->acceptor.is_open()) return;
     if (ec && ec != asio::error::operation_aborted) {
+      if (ec == asio::error::no_descriptors) EvictOldest();
       l->again.expires_after(Span(kAcceptAgain));  // at once would spin
       return l->again.async_wait([this, l](error_code wait_ec) {
         if (!wait_ec) Accept(l);
@@ -130,11 +131,11 @@
   });
 }
 
-// A thousand that begin and never go on must not shut out the one that does.
+// A thousand that begin and never go on, or were refused and stay, must not shut out the one that goes on.
 void TunnelServer::EvictOldest() {
   for (const auto& session : sessions_) {
-    if (!session->handshaking()) continue;
-    ++asked_["handshake_evicted"];
+    if (session->waiting()) continue;
+    if (session->handshaking()) ++asked_["handshake_evicted"];
     const auto oldest = session;
     return oldest->Close();
   }
@@ -200,6 +201,10 @@
 }
 
 void TunnelServer::Sweep() {
+  sweep_.expires_after(Span(kSweepEvery));  // first: the next one comes whatever this one meets
+  sweep_.async_wait([this](error_code ec) {
+    if (!ec) Sweep();
+  });
   const Millis now = Now();
   const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
   for (const auto& session : sessions) session->Sweep(now);
@@ -212,10 +217,7 @@
   for (const auto& tunnel : idle) tunnel->Close("idle", false);
   if (condemned) HostsChanged();
   if (pass_) PassAll();
-  sweep_.expires_after(Span(kSweepEvery));
-  sweep_.async_wait([this](error_code ec) {
-    if (!ec) Sweep();
-  });
+  for (const auto& l : listeners_) Accept(l);  // it may have been given up for want of memory
 }
 
 void TunnelServer::Drain(std::function<void()> emptied) {
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -2,11 +2,15 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <limits.h>
+#include <poll.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <memory>
+#include <new>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -30,15 +34,34 @@
   return kNames[static_cast<int>(level)];
 }
 
+std::string Time();
+
+// Standard error, which is never waited for: a reader that stalls, or a device that is full, must not hold
+// the gateway up. A line is written whole or not at all; those that were not are counted.
+class ErrorSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    const std::string_view line(message.payload.data(), message.payload.size());
+    if (lost_ > 0 && Write(fmt::format("{} warn log_lines_lost count={}", Time(), lost_))) lost_ = 0;
+    if (!Write(line)) ++lost_;
+  }
+  void flush_() override {}
+
+ private:
+  // What fits a pipe's least room is taken at once or not.
+  static bool Write(std::string_view line) {
+    std::string text(line.substr(0, PIPE_BUF - 1));
+    text += '\n';
+    pollfd room{STDERR_FILENO, POLLOUT, 0};
+    if (::poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) return false;
+    return ::write(STDERR_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  }
+  std::uint64_t lost_ = 0;
+};
+
 // Without a thread of its own and without locks: the gateway has one thread.
 spdlog::logger& Logger() {
-  static const auto logger = [] {
-    auto made =
-        std::make_shared<spdlog::logger>("meadowyard", std::make_shared<spdlog::sinks::stderr_sink_st>());
-    made->set_pattern("%v");
-    made->flush_on(spdlog::level::debug);
-    return made;
-  }();
+  static const auto logger = std::make_shared<spdlog::logger>("meadowyard", std::make_shared<ErrorSink>());
   return *logger;
 }
 
@@ -87,7 +110,10 @@
 
 void LogEvent(LogLevel level, const std::string& event, const LogFields& fields) {
   if (!Logger().should_log(ToSpdlog(level))) return;
-  Logger().log(ToSpdlog(level), "{}", LogLine(form_in_force, level, Time(), event, fields));
+  try {
+    Logger().log(ToSpdlog(level), "{}", LogLine(form_in_force, level, Time(), event, fields));
+  } catch (const std::bad_alloc&) {  // the line is lost; whoever had something to say goes on
+  }
 }
 
 }  // namespace meadowyard
--- a/src/operations/admin_server.cpp
+++ b/src/operations/admin_server.cpp
@@ -160,13 +160,13 @@
       });
       return;
     }
+    Accept();  // first: whatever becomes of this call, the next is taken
     if (calls_.size() >= limits_.places) {
       const auto oldest = calls_.front();
       oldest->Close();
     }
     calls_.push_back(std::make_shared<Call>(*this, std::move(socket)));
     calls_.back()->Begin();
-    Accept();
   });
 }
 
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -29,8 +29,8 @@
       socket_(pool.io_),
       timer_(pool.io_),
       writer_(socket_, {[this] { return shared_from_this(); }, [this] { Written(); },
-                        [this] { End(Result::kConnectFailed); }, [this] { Arm(Now() + kStreamPause); },
-                        [this] { Disarm(); }}),
+                        [this] { End(Result::kConnectFailed); }, [this] { End(Result::kNotSent); },
+                        [this] { Arm(Now() + kStreamPause); }, [this] { Disarm(); }}),
       reader_(socket_, {[this] { return shared_from_this(); },
                         [this](Result result, Reply reply, bool keep_alive) {
                           Release(keep_alive);
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -67,9 +67,11 @@
     return attempt;
   }
   const auto connection = std::make_shared<Connection>(*this, host, found->second.address);
-  if (connection->Open()) {
+  // Other processes of the machine, or clients, may have taken the descriptors that were reckoned with.
+  if (connection->Open() || (EvictIdle() && connection->Open())) {
     connection->Dial(std::move(job));
   } else {
+    connection->Close();
     job.done(Result::kNotSent, {});
   }
   return attempt;
--- a/src/upstream/request_writer.cpp
+++ b/src/upstream/request_writer.cpp
@@ -69,7 +69,7 @@
   handlers_.awaits_body();
   rest_->Ask([this, owner = handlers_.owner(), turn = turn_](BodySource::Next next, std::string_view piece) {
     if (turn_ != turn) return;
-    if (next == BodySource::Next::kBroken) return handlers_.failed();  // never whole: never ran
+    if (next == BodySource::Next::kBroken) return handlers_.broken();
     whole_ = next == BodySource::Next::kWhole;
     if (whole_ && !chunked_) return WriteMore();  // nothing is left to write
     text_ = whole_ ? std::string(kLastChunk) : Framed(piece, chunked_);
--- a/src/upstream/request_writer.hpp
+++ b/src/upstream/request_writer.hpp
@@ -18,6 +18,7 @@
     std::function<std::shared_ptr<void>()> owner;  // kept while something is awaited
     std::function<void()> whole;                   // the kernel has its last byte
     std::function<void()> failed;                  // its last byte never left: the request never ran
+    std::function<void()> broken;                  // the same, by its client: nothing of the host
     std::function<void()> awaits_host;             // with a body that is coming: the host must read on
     std::function<void()> awaits_body;             // its client may take its time
   };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -506,10 +506,10 @@
   meadowyard::ClientLimits limits;
   limits.first_request = limits.whole_request = limits.body_pause = 1;
   std::vector<meadowyard::ClientRequest> taken;
-  meadowyard::ClientServer server(
-      io, {Loopback()}, limits,
-      {[] { return true; }, ViewOnly, [&](meadowyard::ClientRequest r) { taken.push_back(std::move(r)); },
-       [](const std::string&) {}, [](const std::string&) {}});
+  meadowyard::ClientServer server(io, {Loopback()}, limits,
+                                  {[] { return true; }, [] { return true; }, ViewOnly,
+                                   [&](meadowyard::ClientRequest r) { taken.push_back(std::move(r)); },
+                                   [](const std::string&) {}, [](const std::string&) {}});
   Client silent(io, server.address()), half(io, server.address()), body(io, server.address());
   half.Send("GET /api HTTP/1.1\r\nReq-");
   body.Send("POST /api HTTP/1.1\r\nContent-Length: 100\r\n\r\nsome");
@@ -521,6 +521,26 @@
   EXPECT_TRUE(taken.empty());
 }
 
+// Guards the memory set by for bodies against clients that go on by a byte at a time.
+TEST(ClientServer, EndsABodyThatTricklesOn) {
+  asio::io_context io;
+  meadowyard::ClientLimits limits;
+  limits.body_pause = limits.whole_request = 60000;
+  limits.whole_body = 50;
+  meadowyard::ClientServer server(
+      io, {Loopback()}, limits,
+      {[] { return true; }, [] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
+       [](const std::string&) {}, [](const std::string&) {}});
+  Client slow(io, server.address());
+  slow.Send("POST /api HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+  int sent = 0;  // never as much as is held whole
+  EXPECT_TRUE(RunUntil(io, [&] {
+    if (slow.answers().empty() && ++sent < 60000) slow.Send("x");
+    return !slow.answers().empty();
+  }));
+  EXPECT_EQ(slow.Await().result(), http::status::request_timeout);
+}
+
 // Guards against a client that goes on after it was told off in the middle of its request: what is read of it
 // then belongs to nothing any more.
 TEST(ClientServer, BearsAClientThatGoesOnAfterItWasToldOff) {
@@ -528,9 +548,10 @@
   meadowyard::ClientLimits limits;
   limits.first_request = limits.whole_request = limits.body_pause = 1;
   limits.linger = 60000;
-  meadowyard::ClientServer server(io, {Loopback()}, limits,
-                                  {[] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
-                                   [](const std::string&) {}, [](const std::string&) {}});
+  meadowyard::ClientServer server(
+      io, {Loopback()}, limits,
+      {[] { return true; }, [] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
+       [](const std::string&) {}, [](const std::string&) {}});
   Client half(io, server.address()), body(io, server.address());
   half.Send("GET /api HTTP/1.1\r\nReq-");
   body.Send("POST /api HTTP/1.1\r\nContent-Length: 100000\r\n\r\nsome");
@@ -551,9 +572,10 @@
   limits.sessions = 4;
   limits.first_request = limits.whole_request = limits.idle = 60000;
   limits.arrival = 0;
-  meadowyard::ClientServer server(io, {Loopback()}, limits,
-                                  {[] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
-                                   [](const std::string&) {}, [](const std::string&) {}});
+  meadowyard::ClientServer server(
+      io, {Loopback()}, limits,
+      {[] { return true; }, [] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
+       [](const std::string&) {}, [](const std::string&) {}});
   Client usual(io, server.address());
   usual.Send("GET /up HTTP/1.1\r\n\r\n");
   EXPECT_EQ(usual.Await().result(), http::status::ok);
@@ -577,9 +599,10 @@
   meadowyard::ClientLimits limits;
   limits.sessions = 3;
   limits.arrival = limits.first_request = limits.idle = 60000;
-  meadowyard::ClientServer server(io, {Loopback()}, limits,
-                                  {[] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
-                                   [](const std::string&) {}, [](const std::string&) {}});
+  meadowyard::ClientServer server(
+      io, {Loopback()}, limits,
+      {[] { return true; }, [] { return true; }, ViewOnly, [](meadowyard::ClientRequest) {},
+       [](const std::string&) {}, [](const std::string&) {}});
   Client stayed(io, server.address());
   stayed.Send("GET /up HTTP/1.1\r\n\r\n");
   EXPECT_EQ(stayed.Await().result(), http::status::ok);
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -271,6 +271,25 @@
 }
 
 // Guards clients that ask first whether their body is wanted.
+// Guards hosts against clients that break their uploads off: that says nothing of a host.
+TEST(Stream, HoldsABodyThatItsClientBreaksAgainstNoHost) {
+  World world(2, TestSettings(), 300, true);
+  const auto dialled = [&] { return world.host(0).connections.size() + world.host(1).connections.size(); };
+  for (std::size_t i = 0; i < 8; ++i) {
+    const auto client = world.Connect();
+    client->Send(Head("r" + std::to_string(i), "Content-Length: 1000000") + Pattern(100000));
+    ASSERT_TRUE(world.Until([&] { return dialled() > i; }));
+    client->Leave();
+    ASSERT_TRUE(world.Until([&] {
+      return std::all_of(world.hosts.begin(), world.hosts.end(), [](const auto& host) {
+        return std::all_of(host->connections.begin(), host->connections.end(),
+                           [](const auto& connection) { return connection->ended; });
+      });
+    }));
+  }
+  EXPECT_EQ(world.Figures()["cluster_unhealthy"], 0);
+}
+
 TEST(Stream, TellsAClientToGoOn) {
   World world;
   world.host().serve = [](const Peer::Taken& taken) { taken.Answer(200, taken.http.body()); };
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -49,11 +49,7 @@
     return status["ended"].value(cause, 0);
   }
   int Asked(const std::string& what) { return front().Status()["asked"].value(what, 0); }
-  nlohmann::json Figures() {
-    Client caller(world.io, world.gateway->admin_address());
-    caller.Send("GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-    return nlohmann::json::parse(caller.Await().body());
-  }
+  nlohmann::json Figures() { return world.Figures(); }
   std::string Put(const std::string& path) {
     Client caller(world.io, world.gateway->admin_address());
     caller.Send("PUT " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
@@ -330,6 +326,46 @@
   EXPECT_EQ(t.Ended("idle"), 1);
 }
 
+// Guards a pool that the file has no more: its core goes with all that it waits for.
+TEST(Tunnels, LeaveNothingBehindOfAPoolThatGoes) {
+  TunnelWorld t(Loopback(1));
+  RawServer echo(t.world.io, RawServer::Echo);
+  std::string without = TunnelWorld::Edge(echo.address());
+  const auto load = [&](const std::string& text) {
+    t.world.gateway->ReloadEdge(
+        std::make_shared<const meadowyard::EdgeConfig>(meadowyard::ParseEdge("edge.toml", text)));
+  };
+  const std::string with = without;
+  const auto pool = without.find("[[pool]]\nname = \"stock\""),
+             next = without.find("[[pool]]\nname = \"fleet\"");
+  without.erase(pool, next - pool);
+  const auto route = without.find("[[route]]\nname = \"stock\"");
+  without.erase(route, without.find("[[route]]\nname = \"fleet\"") - route);
+  for (int i = 0; i < 20; ++i) {
+    load(with);
+    t.Opened()->Reset();
+    load(without);
+    ASSERT_TRUE(t.world.Until([&] { return t.front().open() == 0; }));
+    load(without);                                      // now it is empty
+    t.world.io.run_for(std::chrono::milliseconds(15));  // what it waited for would be due
+  }
+  load(with);
+  t.Opened();
+}
+
+// Guards the door: those that were refused and stay make room, as those that never ask do.
+TEST(Tunnels, RefusedOnesThatStayShutNobodyOut) {
+  TunnelWorld t(Loopback(1), "handshakes = 8\n");
+  std::vector<std::shared_ptr<RawEnd>> denied;
+  for (int i = 0; i < 60; ++i) {
+    denied.push_back(t.Connect());
+    denied.back()->reads = false;  // it stays
+    denied.back()->Say(ConnectCall("nobody.example:443"));
+    ASSERT_TRUE(t.world.Until([&] { return t.Asked("denied") > i; }));
+    EXPECT_LE(t.front().Status()["handshakes"].get<int>(), 8);
+  }
+}
+
 // Guards the reload: a listener that can't be opened changes nothing; a pool that goes ends its tunnels.
 TEST(Tunnels, FollowTheFileWholeOrNotAtAll) {
   TunnelWorld t(Loopback(1));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -59,6 +59,12 @@
 
   std::unique_ptr<Client> Connect() { return std::make_unique<Client>(io, gateway->address()); }
   Peer& host(std::size_t i = 0) { return *hosts[i]; }
+  // As operators read them; the world needs its `admin`.
+  nlohmann::json Figures() {
+    Client caller(io, gateway->admin_address());
+    caller.Send("GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    return nlohmann::json::parse(caller.Await().body());
+  }
 
   asio::io_context io;
   Peer discovery{io};
