--- a/src/operations/admin_server.cpp
+++ b/src/operations/admin_server.cpp
@@ -1,5 +1,7 @@
 #include "operations/admin_server.hpp"
 
+#include <fcntl.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -90,6 +92,7 @@
     if (std::exchange(closed_, true)) return;
     error_code ignored;
     socket_.close(ignored);
+    server_.KeepSpare();  // at once, before anything else takes what this one gave back
     timer_.cancel();
     server_.calls_.remove(shared_from_this());
   }
@@ -151,25 +154,43 @@
 AdminServer::~AdminServer() = default;
 
 void AdminServer::Accept() {
+  KeepSpare();
   acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
     if (!acceptor_.is_open()) return;
-    if (ec) {
-      accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
-      accept_again_.async_wait([this](error_code wait_ec) {
-        if (!wait_ec) Accept();
-      });
-      return;
+    if (!ec) {
+      Accept();  // first: whatever becomes of this call, the next is taken
+      return Take(std::move(socket));
     }
-    Accept();  // first: whatever becomes of this call, the next is taken
-    if (calls_.size() >= limits_.places) {
+    accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
+    accept_again_.async_wait([this](error_code wait_ec) {
+      if (!wait_ec) Accept();
+    });
+    if (ec != asio::error::no_descriptors) return;
+    if (spare_) {
+      spare_ = Descriptor();
+    } else if (!calls_.empty()) {
       const auto oldest = calls_.front();
       oldest->Close();
     }
-    calls_.push_back(std::make_shared<Call>(*this, std::move(socket)));
-    calls_.back()->Begin();
+    socket = acceptor_.accept(ec);
+    if (!ec) Take(std::move(socket));
   });
 }
 
+void AdminServer::KeepSpare() {
+  if (!spare_) spare_ = Descriptor(::open("/dev/null", O_RDONLY | O_CLOEXEC));
+}
+
+void AdminServer::Take(tcp::socket socket) {
+  if (calls_.size() >= limits_.places) {
+    const auto oldest = calls_.front();
+    oldest->Close();
+  }
+  const auto call = std::make_shared<Call>(*this, std::move(socket));
+  calls_.push_back(call);
+  call->Begin();
+}
+
 HttpResponse AdminServer::Handle(const HttpRequest& request) {
   if (FramingOf(request) == Framing::kAmbiguous) {
     return PlainReply(http::status::bad_request, "where the body ends is not clear\n");
--- a/src/operations/admin_server.hpp
+++ b/src/operations/admin_server.hpp
@@ -15,6 +15,7 @@
 
 #include "http/messages.hpp"
 #include "meadowyard/policy.hpp"
+#include "operations/handover.hpp"
 
 namespace meadowyard {
 
@@ -44,6 +45,8 @@
  private:
   class Call;
   void Accept();
+  void KeepSpare();
+  void Take(boost::asio::ip::tcp::socket socket);
   HttpResponse Handle(const HttpRequest& request);
   HttpResponse Maintain(const std::string& query, bool out);
   HttpResponse Tunnels(const std::string& query, bool close);
@@ -53,6 +56,7 @@
   boost::asio::steady_timer accept_again_;
   const Limits limits_;
   const Handlers handlers_;
+  Descriptor spare_;                        // given up for a call that comes when there is none to be had
   std::list<std::shared_ptr<Call>> calls_;  // the oldest first
 };
 
--- a/tests/process.hpp
+++ b/tests/process.hpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -40,13 +41,16 @@
 class Process {
  public:
   // Starts the program with the variables given; its standard error goes to a file.
-  explicit Process(const std::vector<std::pair<std::string, std::string>>& variables)
+  // `prepare` runs in the child last before the program.
+  explicit Process(const std::vector<std::pair<std::string, std::string>>& variables,
+                   const std::function<void()>& prepare = nullptr)
       : errors_(::testing::TempDir() + "meadowyard-err-" + std::to_string(getpid()) + "-" +
                 std::to_string(started_++)),
         pid_(fork()) {
     if (pid_ != 0) return;
     for (const auto& [name, value] : variables) setenv(name.c_str(), value.c_str(), 1);
     if (std::freopen(errors_.c_str(), "w", stderr) == nullptr) _exit(99);
+    if (prepare) prepare();
     execl(MEADOWYARD_PROGRAM, MEADOWYARD_PROGRAM, nullptr);
     _exit(98);
   }
@@ -56,6 +60,7 @@
     std::remove(errors_.c_str());
   }
 
+  pid_t id() const { return pid_; }
   void Terminate() { kill(pid_, SIGTERM); }
   void HangUp() { kill(pid_, SIGHUP); }
   bool Ended() {
