Notice a client that resets while its host keeps the rest of an answer back

Seen with tests/cancel_test.cpp (7 stages, 5 causes, 3 classes, through sockets: one end, counted once, nothing sent later, descriptors and counts as before): with an answer half passed on and the host silent, a client's reset was not noticed until the host's pause of 10 s; PassedOnTime took 18 s and PassedOnDrains found a descriptor more than before. Nothing is written then, and session.cpp waited for nothing else. It waits for an error on the socket now: 105 cases pass in 22 s together, none over 1 s. Ruled out: an attempt that goes out after its request's end, and a count that stays.

--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -1,5 +1,7 @@
 #include "fronts/http/session.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -240,6 +242,20 @@
   });
 }
 
+// While the host keeps the rest of a long answer back nothing is written, and so no write finds the client
+// gone.
+void ClientServer::Session::WatchForReset() {
+  if (std::exchange(watched_, true)) return;
+  socket_.async_wait(tcp::socket::wait_error, [this, self = shared_from_this()](Error ec) {
+    watched_ = false;
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (ec || phase_ != Phase::kWriting) return;
+    ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) Close();
+  });
+}
+
 void ClientServer::Session::Reply(Answer answer) {
   Page page = PageOf(answer);
   Send(std::move(page), answer.rest ? &answer : nullptr);
@@ -267,6 +283,7 @@
   const auto length = stream->rest->length();
   const bool chunked = !length && version_ >= 11;
   if (!length && !chunked) keep_alive_ = false;
+  WatchForReset();
   writer_.WriteStream(HeadText(page, version_, keep_alive_, length, chunked) + Framed(page.body, chunked),
                       std::move(stream->rest), chunked, std::move(stream->passed));
 }
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -56,6 +56,7 @@
   void Spoilt(Error ec);
   void DropUpload();
   void WatchForLeaving();
+  void WatchForReset();
   // The request was not taken whole, and never will be: its client is told so, and nobody else answers.
   void Broken(Page page);
   // Whoever broke the protocol once has no place to go on from: what follows could be anything.
@@ -86,6 +87,7 @@
   unsigned version_ = 11;
   bool keep_alive_ = true;
   bool in_body_ = false;  // a body is being read
+  bool watched_ = false;  // for a reset
 };
 
 }  // namespace meadowyard
