--- a/src/decision/rate.hpp
+++ b/src/decision/rate.hpp
@@ -76,7 +76,7 @@
       rate_ = std::min(rate_ + raise, std::max(start, kEvidence * Spent()));
     } else if (failing_ > (sharers_ > kManySharers ? kToleratedMany : kTolerated) && now_ >= cut_after_ &&
                Crowded()) {
-      rate_ = std::max(1.0 * up_ / set_.gateways, std::min(rate_, Spent()) * kCut);
+      rate_ = std::min(rate_, Spent()) * kCut;        // down to the floor, which Refill keeps
       cut_after_ = now_ + std::max(100.0, Median());  // one cut a round trip
       Say("rate cut to " + std::to_string(static_cast<int>(rate_)) + "/s");
     }
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -377,7 +377,7 @@
 class Orders : public ::testing::TestWithParam<Case> {};
 
 const Case kCases[] = {
-    {"All", 1, 4, kAll},
+    {"All", 1, 5, kAll},
     {"Tries", 1, 6, {"safe", "unsafe", "wait", "error", "rejected", "undialled", "served", "out"}},
     {"Keyed", 1, 6, {"keyed", "tick", "wait", "error", "rejected", "leaves", "cold", "gone"}},
     {"ByHand", 1, 6, {"safe", "out", "back", "drains", "cold", "served", "undialled"}},
@@ -400,7 +400,8 @@
 
 TEST_P(Orders, KeepEveryRuleInTheCore) {
   const Case& c = GetParam();
-  const Explored result = PlayAll(c.gateways, Make<CoreSeat>(), c.events, c.depth - kLess);
+  const Explored result =
+      PlayAll(c.gateways, Make<CoreSeat>(), c.events, c.depth - kLess - (c.events.size() > 20 ? 1 : 0));
   EXPECT_EQ(result.found.rule, "") << "MEADOWYARD_ORDER='" << Text(result.found.order) << "'";
   EXPECT_GT(result.orders, 0);
 }
