Stop a gateway and let it go on in the lab; three gateways bear a stop, a kill, a restart

The lab could kill, restart and upgrade a gateway, not stop one. A stopped process is the case that a kill hides: the front goes on sending to it, and it wakes to old news and overdue timers.

Change: trouble `gateway_stall` (SIGSTOP for `for_s`, then SIGCONT) in src/lab/gateways.cpp; its outage excuses what it owed while stopped, and unlike a kill does not excuse a process that ends by itself (Outage::killed).

--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -169,6 +169,14 @@
     const bool rolling = trouble.gateway < 0;
     return After(io, std::max(kFrontNotices, rolling ? 1000.0 : trouble.len), serve_again);
   }
+  // Stopped, not dead: the front goes on sending to it, and what it wakes to is old news and overdue timers.
+  if (trouble.kind == Trouble::Kind::kGatewayStall) {
+    outages_.push_back({static_cast<int>(g), now, now + trouble.len, false});
+    gateway.process->Signal(SIGSTOP);
+    return After(io, trouble.len, [this, g] {
+      if (all_[g].process && !all_[g].process->Ended()) all_[g].process->Signal(SIGCONT);
+    });
+  }
   if (trouble.kind == Trouble::Kind::kGatewayRestart) {
     gateway.process->Signal(SIGTERM);
     After(io, kFrontLeaves, [this, g] { takes_(g, false); });
@@ -220,15 +228,17 @@
   for (std::size_t g = 0; g < all_.size(); ++g) {
     Gateway& gateway = all_[g];
     const bool crashed = gateway.process && gateway.process->Ended() && gateway.process->status() != 0;
-    const bool killed = std::any_of(outages_.begin(), outages_.end(),
-                                    [&](const Outage& o) { return o.gateway == static_cast<int>(g); });
+    const bool killed = std::any_of(outages_.begin(), outages_.end(), [&](const Outage& o) {
+      return o.gateway == static_cast<int>(g) && o.killed;
+    });
     if (crashed && !killed) {
       remarks_.push_back(fmt::format("gateway {} ended by itself with status {}: {}", g,
                                      gateway.process->status(), gateway.process->LastLine()));
     }
     Ended(g);
     costs.push_back({"gateway " + std::to_string(g), gateway.ended});
-    if (gateway.process) gateway.process->Signal(SIGTERM);
+    if (gateway.process)
+      gateway.process->Signal(SIGCONT), gateway.process->Signal(SIGTERM);  // stopped ones too
   }
   const Millis until = Clock() + kMostStop;
   for (Gateway& gateway : all_) {
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -11,10 +11,11 @@
 
 namespace meadowyard::lab {
 
-// A time in which a gateway's answers are not owed: it was killed by the script.
+// A time in which a gateway's answers are not owed: it was killed or stopped by the script.
 struct Outage {
   int gateway = 0;
   Millis from = 0, to = 0;
+  bool killed = true;  // else stopped and let go on: it must not end by itself
 };
 
 struct Evidence {
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -33,6 +33,7 @@
                                                                {"drain", K::kDrain},
                                                                {"link_cut", K::kLinkCut},
                                                                {"gateway_kill", K::kGatewayKill},
+                                                               {"gateway_stall", K::kGatewayStall},
                                                                {"gateway_restart", K::kGatewayRestart},
                                                                {"gateway_upgrade", K::kGatewayUpgrade}};
   return names;
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -132,6 +132,7 @@
     kDrain,
     kLinkCut,
     kGatewayKill,
+    kGatewayStall,  // stopped (SIGSTOP) for its length, then let go on (SIGCONT)
     kGatewayRestart,
     kGatewayUpgrade,
   };
--- a/tests/lab_run_test.cpp
+++ b/tests/lab_run_test.cpp
@@ -122,6 +122,33 @@
   }
 }
 
+// Three gateways, one of which is stopped and let go on, killed, or restarted as planned, while hosts drain
+// and crash: every rule holds, none ends by itself, and what the others serve carries the day.
+TEST(Lab, BearsAGatewayStoppedKilledOrRestartedAmongThree) {
+  const std::vector<std::string> faults = {"gateway_stall", "gateway_kill", "gateway_restart"};
+  std::vector<std::thread> runs;
+  std::map<std::string, Ended> ended;
+  for (const std::string& fault : faults) {
+    std::string spec = Short("", 4);
+    spec.replace(spec.find("[gateways]\n"), 11, "[gateways]\ncount = 3\n");
+    spec += "[[trouble]]\nkind = '" + fault + "'\nat_s = 1\nfor_s = 1.5\ngateway = 1\n";
+    Ended& slot = ended[fault];
+    runs.emplace_back([&slot, fault, spec] { slot = RunLab(fault, spec); });
+  }
+  for (auto& run : runs) run.join();
+  for (const std::string& fault : faults) {
+    const Ended& e = ended[fault];
+    ASSERT_TRUE(e.report.is_object()) << fault << "\n" << e.text;
+    for (const auto& [rule, found] : e.report["rules"].items())
+      EXPECT_EQ(found["broken"], 0) << fault << ": " << rule << "\n" << e.text;
+    EXPECT_TRUE(e.report["remarks"].empty()) << fault << "\n" << e.text;
+    EXPECT_EQ(e.report["gateways"].size(), 3u) << fault;
+    EXPECT_GT(e.report["all"]["goodput"], 0.75) << fault << "\n" << e.text;
+  }
+  // The stopped one held what it had been given for as long as it slept, and answered it on waking.
+  EXPECT_GT(ended["gateway_stall"].report["all"]["latency"]["most_ms"], 1000);
+}
+
 TEST(Lab, SaysWhyItCantBegin) {
   struct Case {
     std::string name, spec;
