Give one gateway at a time the duty of reading the list, by a lease with tokens

Need: where gateways share a discovery each asks it for itself, which overbooks it; a duty that one does for all has to pass on safely when its holder is stopped, killed or cut off (issue: duties that one gateway holds at a time).

Change: src/duties. Its token only grows and comes with each action; whoever is acted upon turns down lower ones. ListDuty passes on what discovery tells, in parts; who is at another revision asks for the whole; without a word for two silences each asks discovery itself, as before. Switched on by peers.share_list alone. Subsets give each host two gateways at the least.

The lab overhears the acts on the links and judges them (rule 'one holder'); troubles can hit whoever holds the duty, again and again.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -63,7 +63,7 @@
               [this](const std::string& host) { return core_.policy().may_use(host); }),
       upstream_(hosts_, dialer_),
       core_(clock_, Fitted(), config.seed, upstream_,
-            {[this] { discovery_.Watch(); },
+            {[this] { Watch(); },
              [](const std::string& text) {
                LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
              }}),
@@ -71,7 +71,7 @@
                  !state                  ? std::optional(config.known.revision)
                  : state->revision_known ? std::optional(state->hosts.revision)
                                          : std::nullopt,
-                 {[this](const HostList& list) { Told(list); }, [this] { ListFailed(); }}),
+                 {[this](const HostList& list) { ToldByDiscovery(list); }, [this] { ListFailed(); }}),
       stop_(io),
       ask_again_(io),
       clients_(io,
@@ -109,7 +109,7 @@
   }
   Told(state ? state->hosts : config.known);
   if (state) core_.Report(std::move(state->learned));
-  if (!settings_.ask_for_list) discovery_.Watch();
+  if (!settings_.ask_for_list) Watch();
 }
 
 Succession::Handlers Service::SuccessionHandlers() {
@@ -158,19 +158,66 @@
   const Policy::Census census = core_.policy().census();
   status["shared_among"] = census.sharers;
   status["hosts_used"] = census.used;
+  if (list_duty_) status["list"] = list_duty_->Status(Now());
   return status.dump();
 }
 
 void Service::OpenPeers() {
   if (!peers_) return;
-  peer_link_.reset();  // first: its address is free then
+  ClosePeers();  // first: its address is free then
+  if (peers_->share_list) ShareList();
   peer_link_.emplace(clock_.io(), *peers_,
                      PeerLink::Handlers{[this] { return core_.policy().gossip(); },
-                                        [this](PeerNews news) { core_.Report(std::move(news)); }});
+                                        [this](PeerNews news) { core_.Report(std::move(news)); },
+                                        [this](int from, const DutyWord& word) {
+                                          if (list_duty_) list_duty_->Hear(Now(), from, word);
+                                        },
+                                        [this](double chance) {
+                                          if (list_duty_) list_duty_->Beat(Now(), chance);
+                                        }});
 }
 
-void Service::HandOver() {
+// Without peers each asks for itself again.
+void Service::ClosePeers() {
   peer_link_.reset();
+  if (!list_duty_) return;
+  list_duty_.reset();
+  discovery_.Watch();
+}
+
+void Service::ShareList() {
+  ListDuty::Times times;
+  times.lease.term = peers_->lease;
+  times.lease.patience = 2 * peers_->beat;
+  times.stale = 2 * peers_->silent;
+  list_duty_.emplace(static_cast<int>(peers_->self), static_cast<int>(peers_->all.size()), times, Now(),
+                     static_cast<Token>(Now()), discovery_.revision(),
+                     ListDuty::Handlers{[this](int to, const DutyWord& word) {
+                                          if (peer_link_) peer_link_->Send(to, word);
+                                        },
+                                        [this] {
+                                          HostList whole;
+                                          for (const auto& [id, host] : list_) whole.hosts.push_back(host);
+                                          return whole;
+                                        },
+                                        [this](HostList list) {
+                                          discovery_.Known(list.revision);
+                                          Told(list);
+                                        },
+                                        [this](bool on) { on ? discovery_.Watch() : discovery_.Rest(); }});
+}
+
+void Service::Watch() {
+  if (!list_duty_ || list_duty_->watches()) discovery_.Watch();
+}
+
+void Service::ToldByDiscovery(const HostList& list) {
+  Told(list);
+  if (list_duty_) list_duty_->Told(Now(), list);
+}
+
+void Service::HandOver() {
+  ClosePeers();
   clients_.HandOver(
       [this](int socket, std::string_view unread) { return succession_->PassClient(socket, unread); });
   hosts_.PassIdle([this](const std::string& host, const asio::ip::tcp::endpoint& address, int socket) {
@@ -272,11 +319,12 @@
 }
 
 void Service::ListFailed() {
+  if (list_duty_) list_duty_->Failed(Now());
   core_.Report(ServerNews{ServerNews::Kind::kFailed, {}});
   if (settings_.ask_for_list) return;  // the policy says when to ask again
   ask_again_.expires_after(Span(kAskAgain));
   ask_again_.async_wait([this](error_code ec) {
-    if (!ec) discovery_.Watch();
+    if (!ec) Watch();
   });
 }
 
@@ -293,6 +341,7 @@
 
 void Service::Stop(std::function<void()> finished, StopTimes times) {
   if (std::exchange(stopping_, true)) return;
+  if (list_duty_) list_duty_->Stopping(Now());
   // Clients and tunnels, whichever are last; tunnels are not waited for beyond the time of the answers.
   const auto left = std::make_shared<int>(edge_ ? 2 : 1);
   const std::function<void()> done = [left, finished = std::move(finished)] {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -17,6 +17,7 @@
 #include "core/budget.hpp"
 #include "core/gateway.hpp"
 #include "discovery/discovery.hpp"
+#include "duties/list_duty.hpp"
 #include "fronts/http/client_server.hpp"
 #include "operations/admin_server.hpp"
 #include "operations/state_text.hpp"
@@ -75,6 +76,11 @@
   void HandOver();
   void TakeBack();
   void OpenPeers();
+  void ClosePeers();
+  void ShareList();
+  // The own discovery has told, or failed.
+  void ToldByDiscovery(const HostList& list);
+  void Watch();
   std::optional<std::string> PeersText() const;
   // Shares the descriptors out anew: the process before this one still holds so many of them.
   void Share(std::size_t others);
@@ -109,6 +115,7 @@
   std::optional<Succession> succession_;
   std::optional<PeersConfig> peers_;
   std::optional<PeerLink> peer_link_;  // the one of two processes that serves has it
+  std::optional<ListDuty> list_duty_;
 };
 
 }  // namespace meadowyard
--- a/src/decision/fleet.hpp
+++ b/src/decision/fleet.hpp
@@ -57,7 +57,8 @@
     std::vector<Subsets::Item> items;
     std::vector<Backend*> all;
     int group = 0;
-    std::uint64_t of = XXH3_64bits_withSeed(&slot_, sizeof slot_, static_cast<std::uint64_t>(set_.subset));
+    std::uint64_t of =
+        XXH3_64bits_withSeed(&slot_, sizeof slot_, static_cast<std::uint64_t>(set_.subset * 1000 + listed_));
     for (auto& [name, kind] : kinds_) {
       for (auto& [id, b] : servers_) {
         if (&kind != b.kind) continue;
@@ -69,10 +70,15 @@
       }
       ++group;
     }
-    const double size = std::min<double>(set_.subset, static_cast<double>(all.size()));
+    // Each server has two gateways at the least, or one that goes would leave servers idle and others
+    // crowded.
+    const std::size_t two =
+        (2 * all.size() + static_cast<std::size_t>(listed_) - 1) / static_cast<std::size_t>(listed_);
+    const std::size_t asked = std::max(two, static_cast<std::size_t>(set_.subset));
+    const double size = static_cast<double>(std::min(asked, all.size()));
     sharers_ = std::max(1.0, Gateways() * size / std::max<double>(1, static_cast<double>(all.size())));
     if (std::exchange(subset_of_, of) != of) {
-      Subsets subsets(items, static_cast<std::size_t>(set_.subset));
+      Subsets subsets(items, asked);
       for (int place = 0; place < slot_; ++place) subsets.Next();
       subset_.clear();
       for (const std::size_t i : subsets.Next()) subset_.push_back(all[i]->info.id);
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -132,6 +132,12 @@
   Ask();
 }
 
+void Discovery::Rest() {
+  ++moves_;
+  Drop();
+  watching_ = false;
+}
+
 void Discovery::Ask() {
   const auto call = call_ = std::make_shared<Call>(io_);
   const bool fresh = socket_ == nullptr;
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -52,6 +52,11 @@
   // for.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
+  // Ends the watch, if one is on, without a word; Watch() begins it again.
+  void Rest();
+  // The list is known up to here from elsewhere.
+  void Known(std::int64_t revision) { revision_ = revision; }
+
   const boost::asio::ip::tcp::endpoint& address() const { return address_; }
   std::optional<std::int64_t> revision() const { return revision_; }
 
--- /dev/null
+++ b/src/duties/list_duty.hpp
@@ -0,0 +1,67 @@
+// Reading the list of hosts: one gateway has the duty by a lease and passes on what discovery tells it; the
+// others ask discovery themselves only while nobody does. No I/O; times as in Lease.
+#ifndef MEADOWYARD_DUTIES_LIST_DUTY_HPP_
+#define MEADOWYARD_DUTIES_LIST_DUTY_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <vector>
+
+#include "duties/lease.hpp"
+#include "duties/words.hpp"
+
+namespace meadowyard {
+
+class ListDuty {
+ public:
+  struct Handlers {
+    std::function<void(int to, const DutyWord&)> send;
+    std::function<HostList()> whole;     // as it stands here
+    std::function<void(HostList)> told;  // by whoever has the duty
+    std::function<void(bool on)> watch;  // discovery, by oneself
+  };
+  struct Times {
+    Lease::Times lease;
+    Millis stale = 2000;    // without a word from whoever has the duty each asks for itself
+    Millis refuses = 5000;  // one whose discovery failed leaves the duty to others for so long
+  };
+  ListDuty(int self, int gateways, Times times, Millis now, Token least, std::optional<std::int64_t> revision,
+           Handlers handlers);
+
+  // To be called again and again; `chance` as in Lease.
+  void Beat(Millis now, double chance);
+  void Hear(Millis now, int from, const DutyWord& word);
+  // By this gateway's own discovery; `list` was taken in by then.
+  void Told(Millis now, const HostList& list);
+  void Failed(Millis now);
+  void Stopping(Millis now);
+  // Whether discovery is to be asked by oneself now.
+  bool watches() const { return watches_; }
+  nlohmann::json Status(Millis now) const;
+
+ private:
+  void Hear(Millis now, int from, const Lease::Word& word);
+  void Hear(Millis now, int from, const ListPart& part);
+  void Hear(Millis now, int from, const ListWanted& wanted);
+  void Post(const std::vector<Lease::Letter>& letters);
+  void SendList(int to, const HostList& list, std::int64_t after);
+  void Decide(Millis now);
+
+  const int self_, gateways_;
+  const Times times_;
+  const Handlers handlers_;
+  Lease lease_;
+  std::optional<std::int64_t> revision_;  // of what is known here
+  Token acted_ = 0;                       // the highest that an action came with
+  int actor_ = -1;
+  Millis fresh_at_;
+  bool watches_ = true;
+  std::vector<ListPart> parts_;  // of one list, until it is whole
+  std::uint64_t passed_on_ = 0, taken_ = 0, turned_down_ = 0;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_DUTIES_LIST_DUTY_HPP_
--- /dev/null
+++ b/src/duties/words.cpp
@@ -0,0 +1,88 @@
+#include "duties/words.hpp"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace meadowyard {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kVersion = 1;
+constexpr std::size_t kMostName = 128;
+constexpr std::uint32_t kMostParts = 1000;
+
+std::uint64_t Whole(const json& value, std::uint64_t most = ~0ull) {
+  if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) throw std::invalid_argument("number");
+  return value.get<std::uint64_t>();
+}
+
+std::int64_t Revision(const json& value) {
+  if (!value.is_number_integer()) throw std::invalid_argument("number");
+  return value.get<std::int64_t>();
+}
+
+json Body(const Lease::Word& w) {
+  return {{"lease", static_cast<std::uint64_t>(w.kind)},
+          {"token", w.token},
+          {"seen", w.seen},
+          {"holder", w.holder}};
+}
+json Body(const ListPart& p) {
+  HostList list{p.revision, p.complete, p.hosts};
+  return {{"list", p.revision}, {"token", p.token}, {"after", p.after},
+          {"part", p.part},     {"parts", p.parts}, {"hosts", p.parts > 0 ? ToText(list) : ""}};
+}
+json Body(const ListWanted& w) { return {{"wanted", true}, {"token", w.token}}; }
+
+DutyWord Read(const json& all) {
+  const Token token = Whole(all.at("token"));
+  if (all.contains("lease")) {
+    const std::int64_t holder = Revision(all.at("holder"));
+    if (holder < -1 || holder > 255) throw std::invalid_argument("holder");
+    return Lease::Word{static_cast<Lease::Word::Kind>(Whole(all.at("lease"), 4)), token,
+                       Whole(all.at("seen")), static_cast<int>(holder)};
+  }
+  if (all.contains("wanted")) return ListWanted{token};
+  ListPart part;
+  part.token = token;
+  part.revision = Revision(all.at("list"));
+  part.after = Revision(all.at("after"));
+  part.parts = static_cast<std::uint32_t>(Whole(all.at("parts"), kMostParts));
+  part.part = static_cast<std::uint32_t>(Whole(all.at("part"), kMostParts));
+  if (part.parts == 0) return part;
+  auto list = ParseHostList(all.at("hosts").get_ref<const std::string&>());
+  if (!list || part.part >= part.parts || list->revision != part.revision)
+    throw std::invalid_argument("hosts");
+  part.complete = list->complete;
+  part.hosts = std::move(list->hosts);
+  return part;
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> ToBytes(const std::string& from, const DutyWord& word) {
+  json all = std::visit([](const auto& w) { return Body(w); }, word);
+  all["v"] = kVersion;
+  all["from"] = from;
+  all["duty"] = "list";
+  return json::to_cbor(all);
+}
+
+std::optional<FromPeer> ParseDutyWord(const std::uint8_t* bytes, std::size_t size) {
+  if (size > kMostDutyWord) return std::nullopt;
+  try {
+    const json all = json::from_cbor(bytes, bytes + size, true, false);
+    if (!all.is_object() || all.value("duty", "") != "list" || Whole(all.at("v")) != kVersion)
+      return std::nullopt;
+    FromPeer read;
+    read.from = all.at("from").get_ref<const std::string&>();
+    if (read.from.empty() || read.from.size() > kMostName) return std::nullopt;
+    read.word = Read(all);
+    return read;
+  } catch (const std::exception&) {  // a field is missing, of another kind, or of no sense
+    return std::nullopt;
+  }
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/duties/words.hpp
@@ -0,0 +1,44 @@
+// What gateways tell each other of a duty, and its form on the way: CBOR, a map of short names.
+#ifndef MEADOWYARD_DUTIES_WORDS_HPP_
+#define MEADOWYARD_DUTIES_WORDS_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "discovery/discovery.hpp"
+#include "duties/lease.hpp"
+
+namespace meadowyard {
+
+constexpr std::size_t kMostDutyWord = 8192;  // bytes
+constexpr std::size_t kHostsInAPart = 20;    // of a list: a part stays far below that
+
+// From whoever reads the list of hosts for all: that it is at a revision, or a part of what leads there.
+struct ListPart {
+  Token token = 0;
+  std::int64_t revision = 0, after = 0;  // after: from which it leads; a complete list from any
+  bool complete = false;
+  std::uint32_t part = 0, parts = 0;  // no parts: nothing but the revision
+  std::vector<Host> hosts;
+};
+// To it: the sender is at another revision.
+struct ListWanted {
+  Token token = 0;  // as it was told
+};
+using DutyWord = std::variant<Lease::Word, ListPart, ListWanted>;
+
+std::vector<std::uint8_t> ToBytes(const std::string& from, const DutyWord& word);
+struct FromPeer {
+  std::string from;
+  DutyWord word;
+};
+// Nothing if it is no such word, or any part of it is not what it should be.
+std::optional<FromPeer> ParseDutyWord(const std::uint8_t* bytes, std::size_t size);
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_DUTIES_WORDS_HPP_
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -17,6 +17,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "duties/words.hpp"
+
 namespace meadowyard::lab {
 namespace {
 
@@ -48,7 +50,10 @@
                      member.address = "127.0.0.1:" + std::to_string(relay->address().port());
                  }) {
   if (experiment_.peers.on) {
-    peer_links_.emplace(io_, experiment_.gateways.count, experiment_.peers.link, seed_);
+    peer_links_.emplace(io_, experiment_.gateways.count, experiment_.peers.link, seed_,
+                        [this](int from, int to, const char* bytes, std::size_t size, bool arrived) {
+                          Overheard(from, to, bytes, size, arrived);
+                        });
     peer_addresses_ = peer_links_->addresses();
   }
   std::size_t hall = 0;
@@ -160,6 +165,20 @@
   });
 }
 
+// Duties among what gateways tell each other. Who is told of a host by another gateway was told of it.
+void Fleet::Overheard(int from, int to, const char* bytes, std::size_t size, bool arrived) {
+  const auto word = ParseDutyWord(reinterpret_cast<const std::uint8_t*>(bytes), size);
+  const auto* const part = word ? std::get_if<ListPart>(&word->word) : nullptr;
+  if (part == nullptr) return;
+  if (!arrived) return ledger_.acts.push_back({Clock(), from, to, part->token, part->revision});
+  for (const Host& host : part->hosts) {
+    const auto known = std::find(ledger_.hosts.begin(), ledger_.hosts.end(), host.server.id);
+    if (known == ledger_.hosts.end()) continue;
+    ledger_.told.push_back({Clock(), to, static_cast<std::int32_t>(known - ledger_.hosts.begin()),
+                            host.server.state == ServerState::kUp});
+  }
+}
+
 Relay* Fleet::RelayOf(int gateway, int host) {
   const auto found = relays_.find({gateway, host});
   return found == relays_.end() ? nullptr : found->second.get();
@@ -168,12 +187,14 @@
 void Fleet::Cut(const Trouble& t, Random& random) {
   const Millis until = Clock() + t.len;
   const bool to = t.way != Trouble::Way::kFrom, from = t.way != Trouble::Way::kTo;
+  std::vector<int> side = t.side;
+  if (t.holder) side = {ledger_.acts.empty() ? 0 : ledger_.acts.back().gateway};
   if (t.kind == Trouble::Kind::kPeerCut) {
-    if (peer_links_) peer_links_->CutUntil(until, t.side, to, from);
+    if (peer_links_) peer_links_->CutUntil(until, side, to, from);
     return;
   }
   for (const int host : Victims(t, random)) {
-    for (const int g : t.side) {
+    for (const int g : side) {
       if (Relay* const relay = RelayOf(g, host)) relay->CutUntil(until, from, to);
     }
   }
@@ -251,6 +272,8 @@
 
 std::string ToText(const FleetLedger& l) {
   json executions = json::array(), told = json::array(), events = json::array(), uses = json::array();
+  json acts = json::array();
+  for (const DutyAct& a : l.acts) acts.push_back({a.at, a.gateway, a.to, a.token, a.revision});
   for (const HostUse& u : l.uses) uses.push_back({u.connections, u.most_connections, u.cold});
   for (const Execution& e : l.executions) {
     executions.push_back(
@@ -260,6 +283,7 @@
   for (const HostEvent& e : l.events) events.push_back({e.at, e.host, e.what});
   return json{{"hosts", l.hosts},
               {"uses", uses},
+              {"acts", acts},
               {"executions", executions},
               {"told", told},
               {"events", events},
@@ -280,6 +304,7 @@
     l.executions.push_back(
         {e[0], e[1], e[2], e[3], e[4], e[5], e[6], static_cast<Execution::Outcome>(e[7].get<int>())});
   }
+  for (const json& a : j.at("acts")) l.acts.push_back({a[0], a[1], a[2], a[3], a[4]});
   for (const json& u : j.at("uses")) l.uses.push_back({u[0], u[1], u[2]});
   for (const json& t : j.at("told")) l.told.push_back({t[0], t[1], t[2], t[3]});
   for (const json& e : j.at("events")) l.events.push_back({e[0], e[1], e[2].get<std::string>()});
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -51,6 +51,7 @@
   void Replace(int host);
   void Cut(const Trouble& trouble, Random& random);
   Relay* RelayOf(int gateway, int host);
+  void Overheard(int from, int to, const char* bytes, std::size_t size, bool arrived);
 
   boost::asio::io_context& io_;
   const Experiment experiment_;
--- a/src/lab/fleet_figures.cpp
+++ b/src/lab/fleet_figures.cpp
@@ -115,6 +115,13 @@
     hosts += 1, sum += loads[i], most = std::max(most, loads[i]), least = std::min(least, loads[i]);
   }
   if (sum > 0) f.most_load = most * hosts / sum, f.least_load = least * hosts / sum;
+  const DutyAct* last = nullptr;
+  for (const DutyAct& act : ledger.acts) {
+    if (last != nullptr && last->gateway != act.gateway) f.gaps.push_back(act.at - last->at);
+    last = &act;
+  }
+  f.acts = ledger.acts.size();
+  f.hand_overs = f.gaps.size();
   f.pairs = PairsOf(run, run.start, INFINITY).size();
   f.pairs_a_gateway = static_cast<double>(f.pairs) / run.experiment.gateways.count;
   for (const Trouble& t : run.experiment.troubles) {
@@ -151,6 +158,13 @@
     line({{"host", e.host}, {"at_s", at(e.at)}, {"event", e.what}});
   for (const Told& t : run.ledger.told)
     line({{"told", t.gateway}, {"at_s", at(t.at)}, {"host", t.host}, {"up", t.up}});
+  for (const DutyAct& a : run.ledger.acts) {
+    line({{"acted", a.gateway},
+          {"at_s", at(a.at)},
+          {"to", a.to},
+          {"token", a.token},
+          {"revision", a.revision}});
+  }
   for (const Try& t : run.tries) {
     line({{"try", t.id},
           {"arrival", t.arrival},
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -76,7 +76,8 @@
 void Gateways::WritePeers(std::size_t g) const {
   const PeersSpec& spec = experiment_.peers;
   std::ofstream file(all_[g].folder + "/peers.toml");
-  file << fmt::format("[peers]\nlisten = \"{}\"\nsubset = {}\nbeat_ms = {}\nsilent_ms = {}\ngone_ms = {}\n",
+  file << fmt::format("[peers]\nshare_list = {}\nlease_ms = {}\n", spec.share_list, spec.lease);
+  file << fmt::format("listen = \"{}\"\nsubset = {}\nbeat_ms = {}\nsilent_ms = {}\ngone_ms = {}\n",
                       peers_[g][g], spec.subset, spec.beat, spec.silent, spec.gone);
   const bool old =
       std::find(spec.old_lists.begin(), spec.old_lists.end(), static_cast<int>(g)) != spec.old_lists.end();
@@ -133,10 +134,15 @@
   socket->async_connect(ToEndpoint(address), [socket, path, then, again](error_code ec) {
     if (ec) return again();
     const auto stream = std::make_shared<ClientStream>(std::move(*socket));
-    stream->Start({[then, again](ClientStream::Message& message, Millis, Millis) {
+    const auto answered = std::make_shared<bool>(false);  // that it closes then is no failure
+    stream->Start({[then, again, answered](ClientStream::Message& message, Millis, Millis) {
+                     *answered = true;
                      message.result_int() == 200 ? then(true) : again();
                    },
-                   nullptr, [again](ClientStream::End) { again(); }});
+                   nullptr,
+                   [again, answered](ClientStream::End) {
+                     if (!*answered) again();
+                   }});
     stream->Write("GET " + path + " HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
   });
 }
@@ -152,7 +158,8 @@
                        if (said.is_object() && said.contains("present")) {
                          seen_.push_back({Clock(), static_cast<int>(g), said["listed"], said["present"],
                                           said["place"], said["shared_among"], said["hosts_used"],
-                                          said["in_touch"]});
+                                          said["in_touch"],
+                                          said.contains("list") && said["list"]["holds"].get<bool>()});
                        }
                      },
                      nullptr, [](ClientStream::End) {}});
@@ -162,10 +169,20 @@
   After(io, kWatch, [this, &io] { Watch(io); });
 }
 
+// Who said last that it has the duty; else anybody.
+std::size_t Gateways::Holder() const {
+  const auto last = std::find_if(seen_.rbegin(), seen_.rend(), [](const PeersSeen& s) { return s.holds; });
+  return last == seen_.rend() ? 0 : static_cast<std::size_t>(last->gateway);
+}
+
 void Gateways::Script(asio::io_context& io, Millis start) {
   if (!peers_.empty()) Watch(io);
   for (const Trouble& trouble : experiment_.troubles) {
     if (trouble.kind < Trouble::Kind::kGatewayKill) continue;
+    if (trouble.holder) {
+      After(io, start + trouble.at - Clock(), [this, &io, &trouble] { Befall(io, trouble, Holder()); });
+      continue;
+    }
     for (std::size_t g = 0; g < all_.size(); ++g) {
       if (trouble.gateway >= 0 && static_cast<std::size_t>(trouble.gateway) != g) continue;
       // All of them one after the other: a rolling change.
@@ -202,7 +219,7 @@
     gateway.process->Signal(SIGKILL);
     gateway.process->Wait();
     After(io, kFrontNotices, [this, g] { takes_(g, false); });
-    const bool rolling = trouble.gateway < 0;
+    const bool rolling = trouble.gateway < 0 && !trouble.holder;
     return After(io, std::max(kFrontNotices, rolling ? 1000.0 : trouble.len), serve_again);
   }
   // Stopped, not dead: the front goes on sending to it, and what it wakes to is old news and overdue timers.
--- a/src/lab/gateways.hpp
+++ b/src/lab/gateways.hpp
@@ -56,6 +56,7 @@
                    Millis until, std::function<void(bool)> then);
   void After(boost::asio::io_context& io, Millis wait, std::function<void()> then);
   void Ended(std::size_t g);
+  std::size_t Holder() const;
 
   const Experiment experiment_;
   const std::uint64_t seed_;
--- a/src/lab/peer_links.cpp
+++ b/src/lab/peer_links.cpp
@@ -27,8 +27,9 @@
   socket.non_blocking(true);
 }
 
-PeerLinks::PeerLinks(asio::io_context& io, int gateways, const DatagramSpec& spec, std::uint64_t seed)
-    : io_(io), gateways_(gateways) {
+PeerLinks::PeerLinks(asio::io_context& io, int gateways, const DatagramSpec& spec, std::uint64_t seed,
+                     Hears hears)
+    : io_(io), gateways_(gateways), hears_(std::move(hears)) {
   for (int g = 0; g < gateways; ++g) {
     const auto at = ToEndpoint(FreeAddress());
     listens_.emplace_back(at.address(), at.port());
@@ -54,25 +55,28 @@
 }
 
 void PeerLinks::Read(End& end) {
-  end.socket.async_receive_from(
-      asio::buffer(end.buffer), end.from, [this, &end](error_code ec, std::size_t n) {
-        if (ec == asio::error::operation_aborted) return;
-        const bool own = !ec && end.from == listens_[static_cast<std::size_t>(end.owner)];
-        for (const Millis at : own ? end.model.Arrives(Clock()) : std::vector<Millis>()) {
-          const auto timer = std::make_shared<asio::steady_timer>(io_, Wait(at - Clock()));
-          timer->async_wait([this, timer, &end,
-                             bytes = std::vector<char>(end.buffer.begin(),
-                                                       end.buffer.begin() + static_cast<std::ptrdiff_t>(n))](
-                                error_code wait_ec) {
-            error_code ignored;
-            if (!wait_ec)
-              EndOf(end.other, end.owner)
-                  .socket.send_to(asio::buffer(bytes), listens_[static_cast<std::size_t>(end.other)], 0,
-                                  ignored);
-          });
-        }
-        Read(end);
-      });
+  end.socket.async_receive_from(asio::buffer(end.buffer), end.from,
+                                [this, &end](error_code ec, std::size_t n) {
+                                  if (ec == asio::error::operation_aborted) return;
+                                  if (!ec && end.from == listens_[static_cast<std::size_t>(end.owner)])
+                                    Pass(end, n);
+                                  Read(end);
+                                });
+}
+
+void PeerLinks::Pass(End& end, std::size_t size) {
+  if (hears_) hears_(end.owner, end.other, end.buffer.data(), size, false);
+  for (const Millis at : end.model.Arrives(Clock())) {
+    const auto timer = std::make_shared<asio::steady_timer>(io_, Wait(at - Clock()));
+    const std::vector<char> bytes(end.buffer.begin(), end.buffer.begin() + static_cast<std::ptrdiff_t>(size));
+    timer->async_wait([this, timer, &end, bytes](error_code ec) {
+      if (ec) return;
+      error_code ignored;
+      EndOf(end.other, end.owner)
+          .socket.send_to(asio::buffer(bytes), listens_[static_cast<std::size_t>(end.other)], 0, ignored);
+      if (hears_) hears_(end.owner, end.other, bytes.data(), bytes.size(), true);
+    });
+  }
 }
 
 void PeerLinks::CutUntil(Millis until, const std::vector<int>& side, bool to, bool from) {
--- a/src/lab/peer_links.hpp
+++ b/src/lab/peer_links.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,7 +17,10 @@
 
 class PeerLinks {
  public:
-  PeerLinks(boost::asio::io_context& io, int gateways, const DatagramSpec& spec, std::uint64_t seed);
+  // `hears(from, to, bytes, size, arrived)`: what leaves a gateway, and again each copy that arrives.
+  using Hears = std::function<void(int from, int to, const char* bytes, std::size_t size, bool arrived)>;
+  PeerLinks(boost::asio::io_context& io, int gateways, const DatagramSpec& spec, std::uint64_t seed,
+            Hears hears = nullptr);
 
   // [g][p]: where gateway g reaches p; [g][g]: where g itself is to listen.
   std::vector<std::vector<std::string>> addresses() const;
@@ -34,10 +38,12 @@
     std::array<char, 16384> buffer;
   };
   void Read(End& end);
+  void Pass(End& end, std::size_t size);
   End& EndOf(int owner, int other);
 
   boost::asio::io_context& io_;
   const int gateways_;
+  const Hears hears_;
   std::vector<Endpoint> listens_;
   std::vector<std::unique_ptr<End>> ends_;
 };
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -40,7 +40,15 @@
   Millis at = 0;
   int gateway = 0, listed = 0, present = 0, place = 0;
   int shared_among = 0, hosts_used = 0;
-  bool in_touch = false;
+  bool in_touch = false, holds = false;
+};
+
+// A gateway has acted for a duty: passed on the list of hosts, or said that it stands.
+struct DutyAct {
+  Millis at = 0;
+  std::int32_t gateway = 0, to = 0;
+  std::uint64_t token = 0;
+  std::int64_t revision = 0;
 };
 
 struct HostUse {
@@ -54,6 +62,7 @@
   std::vector<Execution> executions;
   std::vector<Told> told;
   std::vector<HostEvent> events;
+  std::vector<DutyAct> acts;  // as they left their gateways
   std::uint64_t connections = 0, most_connections = 0, probes = 0, bad_requests = 0, discovery_calls = 0;
 };
 
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <unordered_map>
 
+#include "duties/lease.hpp"
+
 namespace meadowyard::lab {
 namespace {
 
@@ -28,6 +30,7 @@
     for (const Try& t : e_.tries) JudgeTry(t);
     for (auto& [id, runs] : runs_) JudgeRuns(id, runs);
     JudgeDrains();
+    JudgeDuties();
     for (const HostEvent& event : e_.ledger.events) {
       if (event.what == "fell")
         Found(Rule::kColdHosts, event.at, "host " + HostName(event.host) + " fell over");
@@ -116,6 +119,21 @@
     }
   }
 
+  // Each act carries a token. Once a gateway has acted with a higher one, no other acts with a lower, and
+  // none has another's.
+  void JudgeDuties() {
+    Token highest = 0;
+    int holder = -1;
+    for (const DutyAct& act : e_.ledger.acts) {
+      if (act.gateway != holder && holder >= 0 && act.token <= highest) {
+        Found(Rule::kOneHolder, act.at,
+              fmt::format("gateway {} acted with {:x} after gateway {} had with {:x}", act.gateway, act.token,
+                          holder, highest));
+      }
+      if (act.token > highest) highest = act.token, holder = act.gateway;
+    }
+  }
+
   void JudgeDrains() {
     std::map<std::pair<int, int>, std::vector<const Told*>> told;  // by gateway and host, in time
     for (const Told& t : e_.ledger.told) told[{t.gateway, t.host}].push_back(&t);
@@ -146,8 +164,8 @@
 }  // namespace
 
 const char* Name(Rule rule) {
-  constexpr const char* kNames[] = {"one answer", "true answer", "no repeat",     "drains",
-                                    "cold hosts", "prompt",      "known requests"};
+  constexpr const char* kNames[] = {"one answer", "true answer", "no repeat",      "drains",
+                                    "cold hosts", "prompt",      "known requests", "one holder"};
   return kNames[static_cast<int>(rule)];
 }
 
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -27,15 +27,16 @@
 };
 
 enum class Rule {
-  kOneAnswer,     // each thing taken gets exactly one final answer, before its client gives up
-  kTrueAnswer,    // served with what a host made for it, and no other
-  kNoRepeat,      // what must not repeat is never sent on once it may have run
-  kDrains,        // nothing new to a host later than 1 s after it was told draining or gone
-  kColdHosts,     // no cold host is pushed over
-  kPrompt,        // what is given up unsent is answered within half of its time
-  kKnownRequests  // hosts see no request that no client sent
+  kOneAnswer,      // each thing taken gets exactly one final answer, before its client gives up
+  kTrueAnswer,     // served with what a host made for it, and no other
+  kNoRepeat,       // what must not repeat is never sent on once it may have run
+  kDrains,         // nothing new to a host later than 1 s after it was told draining or gone
+  kColdHosts,      // no cold host is pushed over
+  kPrompt,         // what is given up unsent is answered within half of its time
+  kKnownRequests,  // hosts see no request that no client sent
+  kOneHolder       // a duty is done by one gateway at a time, and later by a higher token
 };
-constexpr int kRules = 7;
+constexpr int kRules = 8;
 const char* Name(Rule rule);
 
 struct Finding {
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <queue>
 
+#include "lab/fleet_figures.hpp"
+
 namespace meadowyard::lab {
 namespace {
 
@@ -246,7 +248,8 @@
   r.probes = run.ledger.probes;
   r.seen = run.seen;
   for (PeersSeen& s : r.seen) s.at -= run.start;
-  for (const HostUse& use : run.ledger.uses) r.cold = std::max(r.cold, use.cold);
+  const FleetFigures fleet = FiguresOf(run);
+  r.cold = fleet.cold, r.acts = fleet.acts, r.gaps = fleet.gaps;
   if (!run.ledger.hosts.empty()) r.findings = Judge({e, run.arrivals, run.tries, run.ledger, run.outages});
   return r;
 }
@@ -325,6 +328,7 @@
                             {"p99_ms", s.p99}});
   }
   if (!r.seen.empty()) j["cold_budget_used"] = r.cold;
+  if (r.acts > 0) j["duty"] = {{"acts", r.acts}, {"gaps_ms", r.gaps}};
   for (const PeersSeen& s : r.seen) {
     j["peers_seen"].push_back({{"at_s", s.at / 1000},
                                {"gateway", s.gateway},
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -71,6 +71,8 @@
   std::vector<GatewayCost> gateways;
   std::vector<PeersSeen> seen;  // times from the start
   double cold = 0;              // see HostUse, of the worst host
+  std::size_t acts = 0;         // for a duty, and the times from one holder to the next
+  std::vector<double> gaps;
   std::uint64_t connections = 0, discovery_calls = 0, probes = 0;
   std::vector<Finding> findings;
   std::vector<std::string> remarks;
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -273,15 +273,21 @@
   s.Numbers("side", side, 0, e.gateways.count - 1);
   t.side.assign(side.begin(), side.end());
   if (t.side.empty() && t.gateway >= 0) t.side = {t.gateway};
+  s.Flag("holder", t.holder);
+  if (t.holder && !e.peers.share_list) s.Fail(s.Find("holder"), "holder", "peers.share_list is off");
   using W = Trouble::Way;
   s.Choice<W>("way", t.way, {{"both", W::kBoth}, {"to", W::kTo}, {"from", W::kFrom}});
   const bool host_cut = t.kind == Trouble::Kind::kHostCut, peer_cut = t.kind == Trouble::Kind::kPeerCut;
-  if ((host_cut || peer_cut) && t.side.empty())
+  if ((host_cut || peer_cut) && t.side.empty() && !t.holder)
     s.Fail(nullptr, "side", "missing: which gateways are cut off");
   if (host_cut && !e.host_link.on) s.Fail(s.Find("kind"), "kind", "there is no [host_link]");
   if (peer_cut && !e.peers.on) s.Fail(s.Find("kind"), "kind", "there is no [peers]");
   if (t.kind == Trouble::Kind::kLinkCut && !e.link.on) s.Fail(s.Find("kind"), "kind", "there is no [link]");
-  e.troubles.push_back(t);
+  int times = 1;
+  Millis every = t.len;
+  s.Count("times", times, 1, 1000);
+  s.Seconds("every_s", every);
+  for (int i = 0; i < times; ++i, t.at += every) e.troubles.push_back(t);
 }
 
 }  // namespace
@@ -362,10 +368,15 @@
     t.Number("jitter_ms", e.peers.link.jitter, 0, 60000);
     t.Number("loss", e.peers.link.loss, 0, 1);
     t.Number("twice", e.peers.link.twice, 0, 1);
+    t.Flag("share_list", e.peers.share_list);
+    t.Number("lease_ms", e.peers.lease, 100, 600000);
     std::vector<double> old_lists;
     t.Numbers("old_lists", old_lists, 0, e.gateways.count - 2);
     e.peers.old_lists.assign(old_lists.begin(), old_lists.end());
   });
+  // There each gateway is told other addresses or times, which one could not pass on to another.
+  if (e.peers.share_list && (e.host_link.on || !e.gateways.clocks.empty()))
+    s.Fail(s.Find("peers"), "peers.share_list", "does not go with [host_link] or gateways.clock_ms");
   s.Table("load", [&](Section& t) { ReadLoad(t, e); });
   s.Tables("trouble", [&](Section& t) { ReadTrouble(t, e); });
   s.Done();
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -121,6 +121,8 @@
   Millis beat = 200, silent = 1000, gone = 3000;
   DatagramSpec link;           // between any two gateways
   std::vector<int> old_lists;  // gateways whose list lacks the last gateway
+  bool share_list = false;     // one of them reads discovery for all
+  Millis lease = 1000;
 };
 
 struct GatewaySpec {
@@ -157,11 +159,12 @@
   };
   Kind kind = Kind::kCrash;
   Millis at = 0, len = 5000;
-  double share = 0.2;                                     // of the hosts, or of answers spoilt or reset
-  double factor = 5;                                      // slower by; share of requests that fail
-  std::string hall;                                       // of the hosts in this one alone
-  int gateway = -1;                                       // all of them
-  std::vector<int> side;                                  // of a cut: these gateways, or the one above
+  double share = 0.2;     // of the hosts, or of answers spoilt or reset
+  double factor = 5;      // slower by; share of requests that fail
+  std::string hall;       // of the hosts in this one alone
+  int gateway = -1;       // all of them
+  bool holder = false;    // whoever has the duty at that moment, in place of it
+  std::vector<int> side;  // of a cut: these gateways, or the one above
   enum class Way { kBoth, kTo, kFrom } way = Way::kBoth;  // to the side, from it
 };
 const char* Name(Trouble::Kind kind);
--- a/src/peers/peer_link.cpp
+++ b/src/peers/peer_link.cpp
@@ -38,7 +38,8 @@
       handlers_(std::move(handlers)),
       view_(Names(config_), config_.self, {config_.silent, config_.gone}, Draw(), Now()),
       socket_(io),
-      timer_(io) {
+      timer_(io),
+      random_(Draw()) {
   Beats();
 }
 
@@ -65,12 +66,18 @@
 
 void PeerLink::Got(std::size_t size) {
   const auto beat = ParseBeat(buffer_.data(), size);
+  const auto duty = beat ? std::nullopt : ParseDutyWord(buffer_.data(), size);
+  const std::string from = beat ? beat->from : duty ? duty->from : "";
   const auto peer = std::find_if(config_.all.begin(), config_.all.end(),
-                                 [&](const PeerAddress& p) { return beat && p.name == beat->from; });
+                                 [&](const PeerAddress& p) { return p.name == from; });
   if (peer == config_.all.end() || peer->address != from_) {
     ++strange_;
     return;
   }
+  if (duty) {
+    if (handlers_.duty) handlers_.duty(static_cast<int>(peer - config_.all.begin()), duty->word);
+    return;
+  }
   const Millis now = Now();
   if (!view_.Hear(now, *beat)) return;
   ++heard_;
@@ -81,6 +88,14 @@
   Tell(std::move(gossip));
 }
 
+void PeerLink::Send(int to, const DutyWord& word) {
+  if (!socket_.is_open()) return;
+  error_code ignored;
+  socket_.send_to(asio::buffer(ToBytes(config_.all[config_.self].name, word)),
+                  config_.all[static_cast<std::size_t>(to)].address, 0, ignored);
+  ++sent_;
+}
+
 void PeerLink::Tell(Gossip gossip) {
   const PeerView::Look look = view_.At(Now());
   handlers_.news({look.listed, look.present, look.place, look.in_touch_until, std::move(gossip)});
@@ -101,6 +116,7 @@
     ++sent_;
   }
   Tell({});
+  if (handlers_.beat) handlers_.beat(static_cast<double>(random_() >> 11) / 9007199254740992.0);
   timer_.expires_after(Span(config_.beat));
   timer_.async_wait([this](error_code ec) {
     if (!ec) Beats();
--- a/src/peers/peer_link.hpp
+++ b/src/peers/peer_link.hpp
@@ -9,7 +9,9 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
+#include <random>
 
+#include "duties/words.hpp"
 #include "peers/peer_view.hpp"
 #include "peers/peers_config.hpp"
 
@@ -20,11 +22,14 @@
   struct Handlers {
     std::function<Gossip()> gossip;  // what the others are to be told
     std::function<void(PeerNews)> news;
+    std::function<void(int from, const DutyWord& word)> duty;  // by the list's order
+    std::function<void(double chance)> beat;                   // after each
   };
   // Begins at once. While the address is taken, by the process before this one perhaps, it tries again.
   PeerLink(boost::asio::io_context& io, PeersConfig config, Handlers handlers);
 
   const PeersConfig& config() const { return config_; }
+  void Send(int to, const DutyWord& word);
   // For operators: who was heard, and what this gateway takes from that.
   nlohmann::json Status() const;
 
@@ -42,6 +47,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::ip::udp::endpoint from_;
   std::array<std::uint8_t, kMostBeat> buffer_;
+  std::mt19937_64 random_;
   std::uint64_t sent_ = 0, heard_ = 0, strange_ = 0;
   bool told_taken_ = false;
 };
--- a/src/peers/peers_config.cpp
+++ b/src/peers/peers_config.cpp
@@ -58,6 +58,9 @@
   if (config.silent < 2 * config.beat) peers->Fail("silent_ms", "must be two beats at the least");
   config.gone = peers->Number("gone_ms", std::max(config.gone, 2 * config.silent), 50, 600000);
   if (config.gone < config.silent) peers->Fail("gone_ms", "must not be below silent_ms");
+  config.share_list = peers->Flag("share_list", false);
+  config.lease = peers->Number("lease_ms", config.lease, 100, 600000);
+  if (config.lease < 4 * config.beat) peers->Fail("lease_ms", "must be four beats at the least");
   peers->Finish();
   in.Finish();
   return config;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -320,7 +320,7 @@
   s.subset = 3;
   Gateway g(s);
   g.Servers(10);
-  g.Do(News(2, 2, g.now + 1e6));
+  g.Do(News(8, 8, g.now + 1e6));
   const std::string bad = g.Serve(30, 10).begin()->first;
   for (int i = 0; i < 60; ++i) {
     const std::string id = "bad" + std::to_string(i), server = Gateway::SentTo(g.Ask(id));
--- a/tests/lab_fleet_test.cpp
+++ b/tests/lab_fleet_test.cpp
@@ -71,6 +71,23 @@
          std::all_of(seen.begin(), seen.end(), [&](const json& s) { return s[field] == value; });
 }
 
+// One reads the list for all; whoever it is meets the fault, and then whoever has followed it.
+const std::string kShared = "share_list = true\nlease_ms = 800\n";
+std::string Duty(const std::string& kind, const std::string& more = "") {
+  return Trouble("drain", 1, 60, "share = 0.2") + Trouble("replace", 2, 1, "share = 0.2") +
+         Trouble(kind, 2, 1.5, "holder = true\ntimes = 2\nevery_s = 3\n" + more);
+}
+
+// The duty passes on within the bound: the lease, a beat, and a few attempts that may collide.
+std::function<void(const Ended&)> HandsOver(std::size_t times) {
+  return [times](const Ended& e) {
+    const json gaps = e.report["duty"]["gaps_ms"];
+    EXPECT_GE(gaps.size(), times) << e.text;
+    for (const double gap : gaps) EXPECT_LE(gap, 800 + 100 + 10 * 400) << gaps;
+    std::printf("hand-overs in ms: %s\n", gaps.dump().c_str());
+  };
+}
+
 struct Case {
   std::string name;
   int gateways;
@@ -127,12 +144,18 @@
          EXPECT_TRUE(Ever(Seen(e, 2, 1, 4), "in_touch", false)) << "it hears all, and nobody hears it\n"
                                                                 << e.text;
          EXPECT_TRUE(Ever(Seen(e, 0, 2, 4), "present", 2)) << e.text;
-         EXPECT_TRUE(Always(Seen(e, 2, 0, 5), "hosts_used", 4)) << e.text;
+         EXPECT_TRUE(Always(Seen(e, 2, 0, 5), "hosts_used", 6)) << e.text;
        },
        3},
       {"OneIsCutOffFromHalfOfTheHosts", 3,
        Spec(3, "", Trouble("host_cut", 1, 1.5, "side = [1]\nshare = 0.5") + "[host_link]\ndelay_ms = 1\n"),
        [](const Ended& e) { EXPECT_GT(e.report["all"]["goodput"], 0.6) << e.text; }, 3},
+      {"HolderOfTheListStopped", 3, Spec(3, kShared, Duty("gateway_stall"), 9), HandsOver(2), 3},
+      {"HolderOfTheListKilled", 5, Spec(5, kShared, Duty("gateway_kill"), 9), HandsOver(2), 5},
+      {"HolderOfTheListCutOffFromTheOthers", 3, Spec(3, kShared, Duty("peer_cut"), 9), HandsOver(2), 3},
+      {"HolderOfTheListHeardByNobody", 3, Spec(3, kShared, Duty("peer_cut", "way = 'from'"), 9), HandsOver(2),
+       3},
+      {"HolderOfTheListHearsNobody", 3, Spec(3, kShared, Duty("peer_cut", "way = 'to'"), 9), HandsOver(2), 3},
       {"LossDelayAndADoubledWordNowAndThen", 5,
        Spec(5, "subset = 4\nloss = 0.1\ntwice = 0.1\ndelay_ms = 20\njitter_ms = 30\n",
             Trouble("gateway_restart", 1, 1, "gateway = 3")),
