Let no reader of the list that is behind undo what others know, and test the duty without sockets

Need: by reading the code: a holder of the list's duty that lags behind a gateway that had asked for itself would have sent it an older whole list, and a host told draining there would have been up again; one that restarts or whose discovery moves would have listened to whoever acted before (src/duties/list_duty.cpp, Hear of a part).

Change: lower revisions are passed over, and such a gateway goes on asking for itself; one that starts listens after a term, one whose discovery moved after 5 s.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -252,6 +252,7 @@
   hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
   core_.figures().Configured(true);
   core_.Configure(Fitted());
+  if (list_duty_ && config.discovery != discovery_.address()) list_duty_->Moved(Now());
   discovery_.Move(config.discovery);
 }
 
--- a/src/duties/list_duty.cpp
+++ b/src/duties/list_duty.cpp
@@ -15,7 +15,8 @@
       handlers_(std::move(handlers)),
       lease_(self, gateways, times.lease, now, least),
       revision_(revision),
-      fresh_at_(now - times.stale) {}
+      fresh_at_(now - times.stale),
+      listens_from_(now + times.lease.term) {}
 
 void ListDuty::Post(const std::vector<Lease::Letter>& letters) {
   for (const Lease::Letter& letter : letters) handlers_.send(letter.to, letter.word);
@@ -52,6 +53,7 @@
 }
 
 void ListDuty::Hear(Millis now, int from, const ListPart& part) {
+  if (now < listens_from_) return;
   if (part.token < acted_ || (part.token == acted_ && from != actor_)) {
     ++turned_down_;  // of one that had the duty before and does not know that it has lost it
     return handlers_.send(from, Lease::Word{Lease::Word::Kind::kNo, part.token, acted_, -1});
@@ -63,6 +65,8 @@
     fresh_at_ = now;
     return;
   }
+  // A holder that is behind would undo what is known here: until it has caught up each asks for itself.
+  if (revision_ && part.revision < *revision_) return;
   const bool leads = part.parts > 0 && (part.complete || revision_ == part.after);
   if (!leads) {
     if (part.parts == 0) handlers_.send(from, ListWanted{part.token});  // again with its next word
@@ -122,6 +126,15 @@
 // What can't read the list can't pass it on either; and others would take it for fresh.
 void ListDuty::Failed(Millis now) { lease_.GiveUp(now + times_.refuses); }
 
+void ListDuty::Moved(Millis now) {
+  revision_.reset();
+  parts_.clear();
+  fresh_at_ = now - times_.stale;
+  listens_from_ = now + times_.refuses;
+  lease_.GiveUp(now + times_.refuses);
+  watches_ = true;  // the new one is asked already
+}
+
 void ListDuty::Stopping(Millis) { lease_.GiveUp(std::numeric_limits<Millis>::infinity()); }
 
 nlohmann::json ListDuty::Status(Millis now) const {
--- a/src/duties/list_duty.hpp
+++ b/src/duties/list_duty.hpp
@@ -24,8 +24,9 @@
   };
   struct Times {
     Lease::Times lease;
-    Millis stale = 2000;    // without a word from whoever has the duty each asks for itself
-    Millis refuses = 5000;  // one whose discovery failed leaves the duty to others for so long
+    Millis stale = 2000;  // without a word from whoever has the duty each asks for itself
+    Millis refuses =
+        5000;  // one whose discovery failed, or is another, leaves the duty to others for so long
   };
   ListDuty(int self, int gateways, Times times, Millis now, Token least, std::optional<std::int64_t> revision,
            Handlers handlers);
@@ -37,6 +38,8 @@
   void Told(Millis now, const HostList& list);
   void Failed(Millis now);
   void Stopping(Millis now);
+  // Discovery is another from now on: its revisions say nothing of those before.
+  void Moved(Millis now);
   // Whether discovery is to be asked by oneself now.
   bool watches() const { return watches_; }
   nlohmann::json Status(Millis now) const;
@@ -57,6 +60,7 @@
   Token acted_ = 0;                       // the highest that an action came with
   int actor_ = -1;
   Millis fresh_at_;
+  Millis listens_from_;  // one that starts has forgotten who acted last: it waits until that is over
   bool watches_ = true;
   std::vector<ListPart> parts_;  // of one list, until it is whole
   std::uint64_t passed_on_ = 0, taken_ = 0, turned_down_ = 0;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <cstring>
 #include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -14,6 +16,7 @@
 #include <xxhash.h>
 
 #include "duties/lease.hpp"
+#include "duties/list_duty.hpp"
 
 namespace meadowyard::testing {
 namespace {
@@ -265,5 +268,153 @@
   }
 }
 
+// Three gateways that share the list, without sockets: what is sent arrives at once, unless it is lost.
+struct Readers {
+  explicit Readers(int n) {
+    for (int g = 0; g < n; ++g) {
+      lists.emplace_back();
+      ListDuty::Times times;
+      times.lease = {1000, 0.01, 100};
+      duties.push_back(std::make_unique<ListDuty>(
+          g, n, times, now, 1, std::nullopt,
+          ListDuty::Handlers{[this, g](int to, const DutyWord& word) {
+                               letters.push_back({g, to, word});
+                             },
+                             [this, g] { return lists[static_cast<std::size_t>(g)]; },
+                             [this, g](const HostList& list) { Take(g, list); }, [](bool) {}}));
+    }
+  }
+  void Take(int g, const HostList& list) {
+    HostList& own = lists[static_cast<std::size_t>(g)];
+    if (list.complete) own.hosts.clear();
+    for (const Host& host : list.hosts) {
+      std::erase_if(own.hosts, [&](const Host& h) { return h.server.id == host.server.id; });
+      own.hosts.push_back(host);
+    }
+    own.revision = list.revision;
+  }
+  void Told(int g, const HostList& list) {  // by its own discovery
+    Take(g, list);
+    duties[static_cast<std::size_t>(g)]->Told(now, list);
+    Deliver();
+  }
+  void Deliver() {
+    while (!letters.empty()) {
+      const auto [from, to, word] = letters.front();
+      letters.erase(letters.begin());
+      const auto bytes = ToBytes("g", word);  // as it crosses
+      const auto read = ParseDutyWord(bytes.data(), bytes.size());
+      ASSERT_TRUE(read);
+      if (!lost(from, to)) duties[static_cast<std::size_t>(to)]->Hear(now, from, read->word);
+    }
+  }
+  void Pass(Millis ms) {
+    for (const Millis until = now + ms; now < until; now += 50) {
+      for (std::size_t g = 0; g < duties.size(); ++g)
+        duties[g]->Beat(now, static_cast<double>(g) / 3), Deliver();
+    }
+  }
+  int Holder() const {
+    for (std::size_t g = 0; g < duties.size(); ++g) {
+      if (duties[g]->Status(now)["holds"]) return static_cast<int>(g);
+    }
+    return -1;
+  }
+
+  Millis now = 1000;
+  std::vector<HostList> lists;
+  std::vector<std::unique_ptr<ListDuty>> duties;
+  std::vector<std::tuple<int, int, DutyWord>> letters;
+  std::function<bool(int, int)> lost = [](int, int) { return false; };
+};
+
+HostList Hosts(std::int64_t revision, int first, int n, ServerState state = ServerState::kUp) {
+  HostList list;
+  list.revision = revision;
+  for (int i = first; i < first + n; ++i) {
+    Host host;
+    host.server.id = "h" + std::to_string(i);
+    host.server.state = state;
+    host.address = *ParseEndpoint("127.0.0.1:9000");
+    list.hosts.push_back(host);
+  }
+  return list;
+}
+
+TEST(ListDuty, OneAsksDiscoveryAndAllHaveItsListWhateverIsLost) {
+  Readers r(3);
+  for (int g = 0; g < 3; ++g) r.Told(g, Hosts(5, 0, 50));
+  r.Pass(3000);
+  const int holder = r.Holder();
+  ASSERT_GE(holder, 0);
+  for (int g = 0; g < 3; ++g) EXPECT_EQ(r.duties[static_cast<std::size_t>(g)]->watches(), g == holder);
+  r.lost = [&](int from, int) { return from == holder; };
+  r.Told(holder, Hosts(6, 50, 45));  // nobody hears of it
+  r.lost = [](int, int) { return false; };
+  HostList drained = Hosts(7, 3, 1, ServerState::kDraining);
+  drained.complete = false;
+  r.Told(holder, drained);
+  r.Pass(100);
+  for (int g = 0; g < 3; ++g) {
+    EXPECT_EQ(r.lists[static_cast<std::size_t>(g)].revision, 7) << g;
+    EXPECT_EQ(ToText(r.lists[static_cast<std::size_t>(g)]).size(),
+              ToText(r.lists[static_cast<std::size_t>(holder)]).size())
+        << g;
+  }
+}
+
+TEST(ListDuty, IsGivenUpWhenDiscoveryFailsAndAHolderThatIsBehindUndoesNothing) {
+  Readers r(3);
+  for (int g = 0; g < 3; ++g) r.Told(g, Hosts(5, 0, 2));
+  r.Pass(3000);
+  const int first = r.Holder();
+  ASSERT_GE(first, 0);
+  const int other = (first + 1) % 3;
+  r.Told(other, Hosts(9, 0, 2, ServerState::kDraining));  // it has heard of more
+  r.Pass(500);
+  EXPECT_EQ(r.lists[static_cast<std::size_t>(other)].revision, 9);
+  r.duties[static_cast<std::size_t>(first)]->Failed(r.now);
+  EXPECT_NE(r.Holder(), first);
+  r.Pass(3000);
+  EXPECT_GE(r.Holder(), 0);
+  EXPECT_NE(r.Holder(), first);
+  EXPECT_EQ(r.lists[static_cast<std::size_t>(other)].revision, 9);
+}
+
+TEST(ListDuty, TurnsDownWhoeverHadTheDutyBefore) {
+  Readers r(3);
+  for (int g = 0; g < 3; ++g) r.Told(g, Hosts(5, 0, 2));
+  r.Pass(3000);
+  const int holder = r.Holder(), other = (holder + 1) % 3;
+  const Token token = r.duties[static_cast<std::size_t>(holder)]->Status(r.now)["token"];
+  ListPart late{token - 256, 6, 5, false, 0, 1, Hosts(6, 0, 2, ServerState::kDraining).hosts};
+  r.duties[static_cast<std::size_t>(other)]->Hear(r.now, (holder + 2) % 3, DutyWord(late));
+  EXPECT_EQ(r.lists[static_cast<std::size_t>(other)].revision, 5);
+  ASSERT_FALSE(r.letters.empty());
+  const auto said = std::get<Lease::Word>(std::get<2>(r.letters.back()));
+  EXPECT_EQ(said.kind, Lease::Word::Kind::kNo);
+  EXPECT_EQ(said.seen, token);
+}
+
+TEST(DutyWords, AreWholeOrNone) {
+  const ListPart part{300, 7, 6, false, 0, 1, Hosts(7, 0, 3).hosts};
+  for (const DutyWord& word :
+       {DutyWord(part), DutyWord(ListWanted{9}), DutyWord(Lease::Word{Lease::Word::Kind::kNo, 5, 8, -1})}) {
+    const auto bytes = ToBytes("g1", word);
+    const auto read = ParseDutyWord(bytes.data(), bytes.size());
+    ASSERT_TRUE(read);
+    EXPECT_EQ(ToBytes("g1", read->word), bytes);
+    std::mt19937 random(1);
+    for (int i = 0; i < 10000; ++i) {
+      auto broken = bytes;
+      for (unsigned k = random() % 4; k-- > 0;)
+        broken[random() % broken.size()] = static_cast<std::uint8_t>(random());
+      if (random() % 3 == 0) broken.resize(random() % broken.size());
+      const auto got = ParseDutyWord(broken.data(), broken.size());
+      EXPECT_TRUE(!got || !got->from.empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace meadowyard::testing
