Put the gateway's side of its peers in a class of its own; keep half-closes across a cut

No change in what it does.

A relay between clients and gateways took an end of one side across a cut for a client that had left, which LabRelay.PassesAllBytesInOrderOverEachLink showed (relay.cpp, Read): half-closes pass again, and only the links to hosts take an end for the whole.

--- /dev/null
+++ b/src/app/peer_service.cpp
@@ -0,0 +1,86 @@
+#include "app/peer_service.hpp"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/clock.hpp"
+
+namespace meadowyard {
+
+PeerService::PeerService(boost::asio::io_context& io, Discovery& discovery, Handlers handlers)
+    : io_(io), discovery_(discovery), handlers_(std::move(handlers)) {}
+
+void PeerService::Know(PeersConfig peers) {
+  peers_ = std::move(peers);
+  Open();
+}
+
+void PeerService::Open() {
+  if (!peers_) return;
+  Close();  // first: its address is free then
+  if (peers_->share_list) ShareList();
+  link_.emplace(io_, *peers_,
+                PeerLink::Handlers{handlers_.gossip, handlers_.news,
+                                   [this](int from, const DutyWord& word) {
+                                     if (duty_) duty_->Hear(Now(), from, word);
+                                   },
+                                   [this](double chance) {
+                                     if (duty_) duty_->Beat(Now(), chance);
+                                   }});
+}
+
+void PeerService::Close() {
+  link_.reset();
+  if (!duty_) return;
+  duty_.reset();
+  discovery_.Watch();
+}
+
+void PeerService::ShareList() {
+  ListDuty::Times times;
+  times.lease.term = peers_->lease;
+  times.lease.patience = 2 * peers_->beat;
+  times.stale = 2 * peers_->silent;
+  duty_.emplace(static_cast<int>(peers_->self), static_cast<int>(peers_->all.size()), times, Now(),
+                static_cast<Token>(Now()), discovery_.revision(),
+                ListDuty::Handlers{[this](int to, const DutyWord& word) {
+                                     if (link_) link_->Send(to, word);
+                                   },
+                                   handlers_.whole,
+                                   [this](HostList list) {
+                                     discovery_.Known(list.revision);
+                                     handlers_.told(std::move(list));
+                                   },
+                                   [this](bool on) { on ? discovery_.Watch() : discovery_.Rest(); }});
+}
+
+void PeerService::Watch() {
+  if (!duty_ || duty_->watches()) discovery_.Watch();
+}
+
+void PeerService::Told(const HostList& list) {
+  if (duty_) duty_->Told(Now(), list);
+}
+
+void PeerService::Failed() {
+  if (duty_) duty_->Failed(Now());
+}
+
+void PeerService::Moving(const boost::asio::ip::tcp::endpoint& address) {
+  if (duty_ && address != discovery_.address()) duty_->Moved(Now());
+}
+
+void PeerService::Stopping() {
+  if (duty_) duty_->Stopping(Now());
+}
+
+std::optional<std::string> PeerService::Status(const Policy::Census& census) const {
+  if (!link_) return std::nullopt;
+  nlohmann::json status = link_->Status();
+  status["shared_among"] = census.sharers;
+  status["hosts_used"] = census.used;
+  if (duty_) status["list"] = duty_->Status(Now());
+  return status.dump();
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/app/peer_service.hpp
@@ -0,0 +1,58 @@
+// A gateway's side of its peers: the link to them, and the duty of reading the list where that is shared.
+#ifndef MEADOWYARD_APP_PEER_SERVICE_HPP_
+#define MEADOWYARD_APP_PEER_SERVICE_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "discovery/discovery.hpp"
+#include "duties/list_duty.hpp"
+#include "meadowyard/policy.hpp"
+#include "peers/peer_link.hpp"
+
+namespace meadowyard {
+
+class PeerService {
+ public:
+  struct Handlers {
+    std::function<Gossip()> gossip;
+    std::function<void(PeerNews)> news;
+    std::function<HostList()> whole;     // the list of hosts as it stands here
+    std::function<void(HostList)> told;  // of it, by a peer
+  };
+  // Without a file there are no peers.
+  PeerService(boost::asio::io_context& io, Discovery& discovery, Handlers handlers);
+
+  // From now on by this file.
+  void Know(PeersConfig peers);
+  int subset() const { return peers_ ? peers_->subset : 0; }
+  // Another process has the link meanwhile; without it each asks discovery for itself.
+  void Close();
+  void Open();
+
+  // Begins to watch discovery, unless a peer reads it for all.
+  void Watch();
+  // The own discovery has told (what it told was taken in), has failed, is to be another.
+  void Told(const HostList& list);
+  void Failed();
+  void Moving(const boost::asio::ip::tcp::endpoint& address);
+  void Stopping();
+  // For operators: what was heard, and what is made of it. Nothing without peers.
+  std::optional<std::string> Status(const Policy::Census& census) const;
+
+ private:
+  void ShareList();
+
+  boost::asio::io_context& io_;
+  Discovery& discovery_;
+  const Handlers handlers_;
+  std::optional<PeersConfig> peers_;
+  std::optional<ListDuty> duty_;
+  std::optional<PeerLink> link_;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_APP_PEER_SERVICE_HPP_
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -63,7 +63,7 @@
               [this](const std::string& host) { return core_.policy().may_use(host); }),
       upstream_(hosts_, dialer_),
       core_(clock_, Fitted(), config.seed, upstream_,
-            {[this] { Watch(); },
+            {[this] { peers_.Watch(); },
              [](const std::string& text) {
                LogEvent(LogLevel::kInfo, "decision", {{"text", text}});
              }}),
@@ -72,6 +72,10 @@
                  : state->revision_known ? std::optional(state->hosts.revision)
                                          : std::nullopt,
                  {[this](const HostList& list) { ToldByDiscovery(list); }, [this] { ListFailed(); }}),
+      peers_(io, discovery_,
+             {[this] { return core_.policy().gossip(); },
+              [this](PeerNews news) { core_.Report(std::move(news)); }, [this] { return WholeList(); },
+              [this](const HostList& list) { Told(list); }}),
       stop_(io),
       ask_again_(io),
       clients_(io,
@@ -103,13 +107,13 @@
             [this](const std::string& host, bool out) { return Maintain(host, out); },
             [this] { return edge_ ? std::optional(edge_->front().Status().dump()) : std::nullopt; },
             [this](std::uint64_t id) { return edge_ && edge_->front().CloseOne(id); },
-            [this] { return PeersText(); }});
+            [this] { return peers_.Status(core_.policy().census()); }});
     succession_.emplace(io, config.handover, inheritance ? std::move(inheritance->link) : Descriptor(),
                         SuccessionHandlers());
   }
   Told(state ? state->hosts : config.known);
   if (state) core_.Report(std::move(state->learned));
-  if (!settings_.ask_for_list) Watch();
+  if (!settings_.ask_for_list) peers_.Watch();
 }
 
 Succession::Handlers Service::SuccessionHandlers() {
@@ -146,78 +150,23 @@
 }
 
 void Service::KnowPeers(PeersConfig peers) {
-  peers_ = std::move(peers);
+  peers_.Know(std::move(peers));
   core_.Configure(Fitted());
-  OpenPeers();
-}
-
-// What was heard, and what is made of it.
-std::optional<std::string> Service::PeersText() const {
-  if (!peer_link_) return std::nullopt;
-  nlohmann::json status = peer_link_->Status();
-  const Policy::Census census = core_.policy().census();
-  status["shared_among"] = census.sharers;
-  status["hosts_used"] = census.used;
-  if (list_duty_) status["list"] = list_duty_->Status(Now());
-  return status.dump();
-}
-
-void Service::OpenPeers() {
-  if (!peers_) return;
-  ClosePeers();  // first: its address is free then
-  if (peers_->share_list) ShareList();
-  peer_link_.emplace(clock_.io(), *peers_,
-                     PeerLink::Handlers{[this] { return core_.policy().gossip(); },
-                                        [this](PeerNews news) { core_.Report(std::move(news)); },
-                                        [this](int from, const DutyWord& word) {
-                                          if (list_duty_) list_duty_->Hear(Now(), from, word);
-                                        },
-                                        [this](double chance) {
-                                          if (list_duty_) list_duty_->Beat(Now(), chance);
-                                        }});
-}
-
-// Without peers each asks for itself again.
-void Service::ClosePeers() {
-  peer_link_.reset();
-  if (!list_duty_) return;
-  list_duty_.reset();
-  discovery_.Watch();
-}
-
-void Service::ShareList() {
-  ListDuty::Times times;
-  times.lease.term = peers_->lease;
-  times.lease.patience = 2 * peers_->beat;
-  times.stale = 2 * peers_->silent;
-  list_duty_.emplace(static_cast<int>(peers_->self), static_cast<int>(peers_->all.size()), times, Now(),
-                     static_cast<Token>(Now()), discovery_.revision(),
-                     ListDuty::Handlers{[this](int to, const DutyWord& word) {
-                                          if (peer_link_) peer_link_->Send(to, word);
-                                        },
-                                        [this] {
-                                          HostList whole;
-                                          for (const auto& [id, host] : list_) whole.hosts.push_back(host);
-                                          return whole;
-                                        },
-                                        [this](HostList list) {
-                                          discovery_.Known(list.revision);
-                                          Told(list);
-                                        },
-                                        [this](bool on) { on ? discovery_.Watch() : discovery_.Rest(); }});
-}
-
-void Service::Watch() {
-  if (!list_duty_ || list_duty_->watches()) discovery_.Watch();
 }
 
 void Service::ToldByDiscovery(const HostList& list) {
   Told(list);
-  if (list_duty_) list_duty_->Told(Now(), list);
+  peers_.Told(list);
+}
+
+HostList Service::WholeList() const {
+  HostList whole;
+  for (const auto& [id, host] : list_) whole.hosts.push_back(host);
+  return whole;
 }
 
 void Service::HandOver() {
-  ClosePeers();
+  peers_.Close();
   clients_.HandOver(
       [this](int socket, std::string_view unread) { return succession_->PassClient(socket, unread); });
   hosts_.PassIdle([this](const std::string& host, const asio::ip::tcp::endpoint& address, int socket) {
@@ -232,7 +181,7 @@
 void Service::TakeBack() {
   hosts_.PassIdle(nullptr);
   clients_.TakeBack();
-  OpenPeers();
+  peers_.Open();
   if (edge_) edge_->front().TakeBack();
 }
 
@@ -252,7 +201,7 @@
   hosts_.SetTimes(config.dial_timeout, config.idle_timeout);
   core_.figures().Configured(true);
   core_.Configure(Fitted());
-  if (list_duty_ && config.discovery != discovery_.address()) list_duty_->Moved(Now());
+  peers_.Moving(config.discovery);
   discovery_.Move(config.discovery);
 }
 
@@ -260,7 +209,7 @@
   // The module is told how many attempts there are descriptors for.
   Settings settings = edge_file_ ? EdgeService::WithTunnels(settings_, *edge_file_) : settings_;
   settings.most_out = static_cast<int>(budget_.host_connections);
-  settings.subset = peers_ ? peers_->subset : 0;
+  settings.subset = peers_.subset();
   return settings;
 }
 
@@ -320,12 +269,12 @@
 }
 
 void Service::ListFailed() {
-  if (list_duty_) list_duty_->Failed(Now());
+  peers_.Failed();
   core_.Report(ServerNews{ServerNews::Kind::kFailed, {}});
   if (settings_.ask_for_list) return;  // the policy says when to ask again
   ask_again_.expires_after(Span(kAskAgain));
   ask_again_.async_wait([this](error_code ec) {
-    if (!ec) Watch();
+    if (!ec) peers_.Watch();
   });
 }
 
@@ -342,7 +291,7 @@
 
 void Service::Stop(std::function<void()> finished, StopTimes times) {
   if (std::exchange(stopping_, true)) return;
-  if (list_duty_) list_duty_->Stopping(Now());
+  peers_.Stopping();
   // Clients and tunnels, whichever are last; tunnels are not waited for beyond the time of the answers.
   const auto left = std::make_shared<int>(edge_ ? 2 : 1);
   const std::function<void()> done = [left, finished = std::move(finished)] {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -13,16 +13,15 @@
 #include <string>
 
 #include "app/edge_service.hpp"
+#include "app/peer_service.hpp"
 #include "config/config.hpp"
 #include "core/budget.hpp"
 #include "core/gateway.hpp"
 #include "discovery/discovery.hpp"
-#include "duties/list_duty.hpp"
 #include "fronts/http/client_server.hpp"
 #include "operations/admin_server.hpp"
 #include "operations/state_text.hpp"
 #include "operations/succession.hpp"
-#include "peers/peer_link.hpp"
 #include "upstream/host_pool.hpp"
 #include "upstream/tunnel_dialer.hpp"
 
@@ -75,13 +74,8 @@
   // The next process serves: everything that is idle goes there.
   void HandOver();
   void TakeBack();
-  void OpenPeers();
-  void ClosePeers();
-  void ShareList();
-  // The own discovery has told, or failed.
   void ToldByDiscovery(const HostList& list);
-  void Watch();
-  std::optional<std::string> PeersText() const;
+  HostList WholeList() const;
   // Shares the descriptors out anew: the process before this one still holds so many of them.
   void Share(std::size_t others);
   void Told(const HostList& list);
@@ -104,6 +98,7 @@
   SplitUpstream upstream_;
   Gateway core_;
   Discovery discovery_;
+  PeerService peers_;
   std::map<std::string, Host> list_;  // as discovery told it
   bool listed_ = false;               // some list of hosts is known
   bool stopping_ = false;
@@ -113,9 +108,6 @@
   std::optional<EdgeService> edge_;
   std::optional<AdminServer> admin_;
   std::optional<Succession> succession_;
-  std::optional<PeersConfig> peers_;
-  std::optional<PeerLink> peer_link_;  // the one of two processes that serves has it
-  std::optional<ListDuty> list_duty_;
 };
 
 }  // namespace meadowyard
--- a/src/core/clock.hpp
+++ b/src/core/clock.hpp
@@ -44,7 +44,6 @@
 class IoClock : public Clock {
  public:
   explicit IoClock(boost::asio::io_context& io) : io_(io) {}
-  boost::asio::io_context& io() { return io_; }
   Millis Now() override { return meadowyard::Now(); }
   std::unique_ptr<Wait> After(Millis wait, std::function<void()> then) override;
 
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -84,6 +84,7 @@
     relays_[{g, identity.index}] =
         std::make_unique<Relay>(io_, std::vector{place.host->address()}, experiment_.host_link,
                                 seed_ + static_cast<std::uint64_t>(identity.index * 1000 + g));
+    relays_[{g, identity.index}]->EndsAreWhole();
   }
   if (known) discovery_.Put(identity.index, place.member);
   places_.push_back(std::move(place));
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -94,8 +94,8 @@
                            if (ec == asio::error::operation_aborted) return;
                            if (ec) {
                              way.ended = true;
-                             // Whoever gives up across a cut sends nothing again: what is held never comes.
-                             if (ec != asio::error::eof || Clock() < way.cut_until) return Close(true);
+                             const bool left = relay.ends_are_whole_ && Clock() < way.cut_until;
+                             if (ec != asio::error::eof || left) return Close(true);
                              if (way.held == 0) HalfClose(to);
                              return;
                            }
--- a/src/lab/relay.hpp
+++ b/src/lab/relay.hpp
@@ -25,6 +25,9 @@
   // else.
   Relay(boost::asio::io_context& io, std::vector<Endpoint> targets, const LinkSpec& link, std::uint64_t seed);
   ~Relay();
+  // Whoever ends its side across a cut has left: what is held for the other never comes. Else it has half
+  // closed.
+  void EndsAreWhole() { ends_are_whole_ = true; }
   Endpoint address() const { return acceptor_.local_endpoint(); }
   // Nothing crosses any connection until then, to the targets or back from them.
   void CutUntil(Millis until, bool there = true, bool back = true);
@@ -39,6 +42,7 @@
   const LinkSpec link_;
   const std::uint64_t seed_;
   std::uint64_t next_ = 0;
+  bool ends_are_whole_ = false;
   Millis cut_there_ = 0, cut_back_ = 0;
   std::set<std::shared_ptr<Pair>> pairs_;
 };
