--- a/src/app/peer_service.hpp
+++ b/src/app/peer_service.hpp
@@ -27,7 +27,6 @@
 
   // From now on by this file.
   void Know(PeersConfig peers);
-  int subset() const { return peers_ ? peers_->subset : 0; }
   // Another process has the link meanwhile; without it each asks discovery for itself.
   void Close();
   void Open();
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -150,6 +150,7 @@
 }
 
 void Service::KnowPeers(PeersConfig peers) {
+  subset_ = peers.subset;
   peers_.Know(std::move(peers));
   core_.Configure(Fitted());
 }
@@ -209,7 +210,7 @@
   // The module is told how many attempts there are descriptors for.
   Settings settings = edge_file_ ? EdgeService::WithTunnels(settings_, *edge_file_) : settings_;
   settings.most_out = static_cast<int>(budget_.host_connections);
-  settings.subset = peers_.subset();
+  settings.subset = subset_;
   return settings;
 }
 
