Take nobody for away on getting back in touch; silence while cut off tells nothing

Cause: PeerView::At counts a peer as away when its last round trip is older than gone_ms (src/peers/peer_view.cpp, the loop that fills `there`). For a gateway that was itself cut off this holds of all. The first two peers that it hears again put it in touch, and the third, whose word comes a beat later, counted as away meanwhile: its share of the quotas grew from 1/4 to 1/3 for up to a beat. On an idle machine all three words come within a millisecond, so it was not seen there.

Ruled out: the test's own timing (its bounds hold; what it read was what the gateway acted by).

Mended: silence counts from when touch came back. PeerView.WhoIsBackInTouchTakesNobodyForAwayAtOnce failed before (present 3) and passes now.

--- a/src/peers/peer_view.cpp
+++ b/src/peers/peer_view.cpp
@@ -9,7 +9,6 @@
 namespace meadowyard {
 namespace {
 
-constexpr Millis kNeverHeard = -1e15;
 constexpr std::size_t kSentKept = 64;
 
 }  // namespace
@@ -39,6 +38,7 @@
   if (p.listed > 0 && stale) return ++dropped_, false;
   p.life = beat.life, p.number = beat.number, p.list = beat.list, p.listed = beat.listed;
   p.heard_at = now;
+  const bool touched = now < At(now).in_touch_until;
   // Touch counts from when the word was said that is answered here, not from when the answer is read: what a
   // stopped process finds waiting when it goes on is old.
   for (const Beat::Echo& e : beat.hears) {
@@ -46,6 +46,7 @@
     const std::uint64_t back = number_ - e.number;
     if (back < sent_.size()) p.mutual_at = std::max(p.mutual_at, sent_[sent_.size() - 1 - back]);
   }
+  if (!touched && now < At(now).in_touch_until) back_at_ = now;
   return true;
 }
 
@@ -76,7 +77,8 @@
   std::vector<Millis> mutual;
   for (std::size_t i = 0; i < peers_.size(); ++i) {
     if (i != self_) mutual.push_back(peers_[i].mutual_at);
-    if (i == self_ || now - peers_[i].mutual_at < times_.gone) there.push_back(i);
+    // Silence while this one was out of touch says nothing of the others.
+    if (i == self_ || now - std::max(peers_[i].mutual_at, back_at_) < times_.gone) there.push_back(i);
   }
   // More than half of all, this one included, that hear it and are heard.
   const auto needed = static_cast<std::size_t>(look.listed / 2);
--- a/src/peers/peer_view.hpp
+++ b/src/peers/peer_view.hpp
@@ -12,6 +12,8 @@
 
 namespace meadowyard {
 
+constexpr Millis kNeverHeard = -1e15;
+
 class PeerView {
  public:
   struct Times {
@@ -49,7 +51,8 @@
   const Times times_;
   const std::uint64_t life_;
   std::uint64_t list_ = 0, number_ = 0, dropped_ = 0;
-  std::deque<Millis> sent_;  // the last words of this one, by number
+  Millis back_at_ = kNeverHeard;  // in touch again since then
+  std::deque<Millis> sent_;       // the last words of this one, by number
   std::vector<Peer> peers_;
 };
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -165,6 +165,21 @@
   EXPECT_EQ(net.At(0).present, 3);
 }
 
+// One that was cut off knows nothing of who went meanwhile: those that it hears a beat later are no fewer.
+TEST(PeerView, WhoIsBackInTouchTakesNobodyForAwayAtOnce) {
+  Network net(4);
+  net.Pass(2000);
+  net.passes = [](std::size_t a, std::size_t b) { return (a == 0) == (b == 0); };
+  net.Pass(5000);
+  EXPECT_FALSE(net.InTouch(0));
+  net.passes = [](std::size_t a, std::size_t b) { return a + b != 3 || (a != 0 && b != 0); };
+  net.Pass(300);
+  EXPECT_TRUE(net.InTouch(0));
+  EXPECT_EQ(net.At(0).present, 4) << "the last one's word is still on its way";
+  net.Pass(5000);
+  EXPECT_EQ(net.At(0).present, 3) << "but it counts as away in the end";
+}
+
 TEST(PeerView, OneThatGoesMovesOneOtherAtTheMost) {
   for (std::size_t gone = 0; gone < 6; ++gone) {
     Network net(6);
