Spread attempts for a lease over several beats: attempts in step kept overtaking each other

Seen: in a model of three gateways whose beats follow each other within a round trip (10 ms apart, 10 ms each way) nobody came to hold the lease in 3 s, and would not have later: the first two had each granted to themselves, and each attempt for the third one's grant was overtaken by the next gateway's before its offer came back.

Cause: Lease::Begin (src/duties/lease.cpp) draws the time to the next attempt from one to two times the patience. Where that is no longer than the beat, at which alone it is looked at, all draws come to the same beat, so attempts keep in step for good. With the patience of two beats that the program uses there are two beats to draw from, which collide again and again.

Ruled out: clocks that run apart, lost words, and the tokens, which were fresh at each attempt.

--- a/src/duties/lease.cpp
+++ b/src/duties/lease.cpp
@@ -7,6 +7,7 @@
 
 constexpr Token kGateways = 256;  // the last digits of a token say whose it is
 constexpr Millis kNeverHeld = -1e15;
+constexpr double kSpread = 4;  // times the patience, that attempts after one that failed are drawn from
 
 }  // namespace
 
@@ -47,7 +48,9 @@
 }
 
 void Lease::Begin(Millis now, double chance, std::vector<Letter>& out) {
-  next_ = now + times_.patience * (1 + chance);
+  // Who holds it has nobody to collide with. Others ask at beats that may keep in step: the spread covers
+  // several.
+  next_ = now + times_.patience * (Holds(now) ? 1 : 1 + kSpread * chance);
   highest_ = asked_ = (highest_ / kGateways + 1) * kGateways + static_cast<Token>(self_);
   attempt_ = Attempt::kAsking;
   open_.clear();
