--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -10,9 +10,11 @@
 #define MEADOWYARD_POLICY_HPP_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -44,6 +46,18 @@
   double quota_per_s = 0;  // requests a second within its share, over all gateways; 0 = unmetered
 };
 
+// Where requests go by the zones of their servers; see ZonesAgreed.
+struct Locality {
+  bool on = false;
+  std::map<std::string, int> regions;  // of zones: those of one lie near each other, one without lies alone
+  double spare = 1.4;                  // a zone serves all of its own while 1/spare of it or more is fit
+  double panic = 0.3;                  // where less than this share of all is fit nobody goes elsewhere
+  double most_extra = 1;  // that a fit zone takes from others, as a multiple of its own part; half of it goes
+                          // to its region first
+
+  bool operator==(const Locality&) const = default;
+};
+
 struct Settings {
   std::vector<ClassSettings> classes;  // at least one
   std::vector<TenantSettings> tenants;
@@ -51,6 +65,7 @@
   int gateways = 1;  // gateways in front of the same servers, this one included
   int index = -1;    // which of them this one is, from 0; -1 = unknown
   int subset = 0;  // servers that each gateway uses where they know of each other (PeerNews); 0 = as without
+  Locality locality;
   bool ask_for_list = false;  // the server list answers only when asked (Watch)
   Millis ask_within = 10000;  // ask mode: longest time without asking
   int max_attempts = 3;
@@ -226,8 +241,42 @@
   Gossip gossip;              // what has come from others since the last of these
 };
 
+// What one gateway sees of the zones.
+struct ZoneSight {
+  std::string zone;
+  double size = 0;   // weight of the servers that may be used
+  double fit = 0;    // of these: trusted, and warm
+  double ended = 0;  // attempts there that ended lately, fading over some 2 s
+  double good = 0;   // of these: answered within their class's aim
+};
+struct Sights {
+  std::string zone;     // where the gateway stands
+  double arriving = 0;  // requests a second at it
+  std::vector<ZoneSight> zones;
+};
+
+// How the zones stand, as more than half of all gateways have agreed. From the first of these on requests go
+// by it, and a gateway that the others can't reach keeps to the last. Older ones are passed over.
+struct ZonesAgreed {
+  std::uint64_t term = 0, version = 0;  // of the gateway that proposed it; both only grow
+  struct Zone {
+    std::string name;
+    double health = 1;  // share of it that is fit; 0: failed
+    double size = 0;    // weight of its servers when all are there
+    double demand = 0;  // requests a second at the gateways that stand in it
+
+    bool operator==(const Zone&) const = default;
+  };
+  std::vector<Zone> zones;
+
+  bool operator==(const ZonesAgreed&) const = default;
+  bool After(const ZonesAgreed& other) const {
+    return term != other.term ? term > other.term : version > other.version;
+  }
+};
+
 using Event = std::variant<Request, RequestWhole, StreamStarted, Outcome, ClientGone, TimerDue, ServerNews,
-                           ServerOut, ServerBack, SettingsChanged, Recollection, Held, PeerNews>;
+                           ServerOut, ServerBack, SettingsChanged, Recollection, Held, PeerNews, ZonesAgreed>;
 
 // ---- Actions: what the gateway is to do, in this order -----------------------------------------
 
@@ -295,6 +344,10 @@
   Census census() const;
   // What other gateways may be told; see PeerNews.
   Gossip gossip() const;
+  Sights sights() const;
+  // The share of this gateway's requests that goes to each zone, by what was agreed; those of what is left
+  // are refused. Empty: nothing was agreed.
+  std::vector<std::pair<std::string, double>> parts() const;
   Recollection recall() const;
 
  private:
--- a/src/app/peer_service.cpp
+++ b/src/app/peer_service.cpp
@@ -19,18 +19,31 @@
   if (!peers_) return;
   Close();  // first: its address is free then
   if (peers_->share_list) ShareList();
-  link_.emplace(io_, *peers_,
-                PeerLink::Handlers{handlers_.gossip, handlers_.news,
-                                   [this](int from, const DutyWord& word) {
-                                     if (duty_) duty_->Hear(Now(), from, word);
-                                   },
-                                   [this](double chance) {
-                                     if (duty_) duty_->Beat(Now(), chance);
-                                   }});
+  if (peers_->locality.on) ShareZones();
+  link_.emplace(
+      io_, *peers_,
+      PeerLink::Handlers{handlers_.gossip, handlers_.news,
+                         [this](int from, Duty duty, const DutyWord& word) { Heard(from, duty, word); },
+                         [this](double chance) { Beat(chance); },
+                         [this] { return zones_ ? std::optional(handlers_.sights()) : std::nullopt; },
+                         [this](int from, const Sights& sights) {
+                           if (zones_) zones_->See(Now(), from, sights);
+                         }});
+}
+
+void PeerService::Heard(int from, Duty duty, const DutyWord& word) {
+  if (duty == Duty::kList && duty_) duty_->Hear(Now(), from, word);
+  if (duty == Duty::kZones && zones_) zones_->Hear(Now(), from, word);
+}
+
+void PeerService::Beat(double chance) {
+  if (duty_) duty_->Beat(Now(), chance);
+  if (zones_) zones_->Beat(Now(), chance, handlers_.sights());
 }
 
 void PeerService::Close() {
   link_.reset();
+  zones_.reset();
   if (!duty_) return;
   duty_.reset();
   discovery_.Watch();
@@ -44,7 +57,7 @@
   duty_.emplace(static_cast<int>(peers_->self), static_cast<int>(peers_->all.size()), times, Now(),
                 static_cast<Token>(Now()), discovery_.revision(),
                 ListDuty::Handlers{[this](int to, const DutyWord& word) {
-                                     if (link_) link_->Send(to, word);
+                                     if (link_) link_->Send(to, Duty::kList, word);
                                    },
                                    handlers_.whole,
                                    [this](HostList list) {
@@ -54,6 +67,20 @@
                                    [this](bool on) { on ? discovery_.Watch() : discovery_.Rest(); }});
 }
 
+void PeerService::ShareZones() {
+  ZoneDuty::Times times;
+  times.lease.term = peers_->lease;
+  times.lease.patience = 2 * peers_->beat;
+  times.judge = peers_->zones;
+  times.again = 2 * peers_->beat;
+  zones_.emplace(static_cast<int>(peers_->self), static_cast<int>(peers_->all.size()), times, Now(),
+                 static_cast<Token>(Now()),
+                 ZoneDuty::Handlers{[this](int to, const DutyWord& word) {
+                                      if (link_) link_->Send(to, Duty::kZones, word);
+                                    },
+                                    handlers_.agreed});
+}
+
 void PeerService::Watch() {
   if (!duty_ || duty_->watches()) discovery_.Watch();
 }
@@ -72,6 +99,7 @@
 
 void PeerService::Stopping() {
   if (duty_) duty_->Stopping(Now());
+  if (zones_) zones_->Stopping();
 }
 
 std::optional<std::string> PeerService::Status(const Policy::Census& census) const {
@@ -80,6 +108,7 @@
   status["shared_among"] = census.sharers;
   status["hosts_used"] = census.used;
   if (duty_) status["list"] = duty_->Status(Now());
+  if (zones_) status["zones"] = zones_->Status(Now());
   return status.dump();
 }
 
--- a/src/app/peer_service.hpp
+++ b/src/app/peer_service.hpp
@@ -1,4 +1,4 @@
-// A gateway's side of its peers: the link to them, and the duty of reading the list where that is shared.
+// A gateway's side of its peers: the link to them, and its part in the duties that are shared.
 #ifndef MEADOWYARD_APP_PEER_SERVICE_HPP_
 #define MEADOWYARD_APP_PEER_SERVICE_HPP_
 
@@ -9,6 +9,7 @@
 
 #include "discovery/discovery.hpp"
 #include "duties/list_duty.hpp"
+#include "duties/zone_duty.hpp"
 #include "meadowyard/policy.hpp"
 #include "peers/peer_link.hpp"
 
@@ -21,6 +22,8 @@
     std::function<void(PeerNews)> news;
     std::function<HostList()> whole;     // the list of hosts as it stands here
     std::function<void(HostList)> told;  // of it, by a peer
+    std::function<Sights()> sights;      // of the zones
+    std::function<void(const ZonesAgreed&)> agreed;
   };
   // Without a file there are no peers.
   PeerService(boost::asio::io_context& io, Discovery& discovery, Handlers handlers);
@@ -43,12 +46,16 @@
 
  private:
   void ShareList();
+  void ShareZones();
+  void Heard(int from, Duty duty, const DutyWord& word);
+  void Beat(double chance);
 
   boost::asio::io_context& io_;
   Discovery& discovery_;
   const Handlers handlers_;
   std::optional<PeersConfig> peers_;
   std::optional<ListDuty> duty_;
+  std::optional<ZoneDuty> zones_;
   std::optional<PeerLink> link_;
 };
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -75,7 +75,8 @@
       peers_(io, discovery_,
              {[this] { return core_.policy().gossip(); },
               [this](PeerNews news) { core_.Report(std::move(news)); }, [this] { return WholeList(); },
-              [this](const HostList& list) { Told(list); }}),
+              [this](const HostList& list) { Told(list); }, [this] { return core_.policy().sights(); },
+              [this](const ZonesAgreed& zones) { core_.Report(zones); }}),
       stop_(io),
       ask_again_(io),
       clients_(io,
@@ -151,6 +152,7 @@
 
 void Service::KnowPeers(PeersConfig peers) {
   subset_ = peers.subset;
+  locality_ = peers.locality;
   peers_.Know(std::move(peers));
   core_.Configure(Fitted());
 }
@@ -211,6 +213,7 @@
   Settings settings = edge_file_ ? EdgeService::WithTunnels(settings_, *edge_file_) : settings_;
   settings.most_out = static_cast<int>(budget_.host_connections);
   settings.subset = subset_;
+  settings.locality = locality_;
   return settings;
 }
 
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -92,8 +92,9 @@
   Settings settings_;                            // as in the file in force
   std::shared_ptr<const EdgeConfig> edge_file_;  // null: no tunnels
   std::size_t others_ = 0;                       // descriptors that the process before this one holds
-  int subset_ =
-      0;  // hosts that each gateway uses, where there are peers; before the core, which is told of it
+  // Where there are peers; before the core, which is told of them.
+  int subset_ = 0;  // hosts that each gateway uses
+  Locality locality_;
   Budget budget_;
   HostPool hosts_;
   TunnelDialer dialer_;
--- a/src/decision/fleet.hpp
+++ b/src/decision/fleet.hpp
@@ -56,17 +56,20 @@
   void ChooseShared() {
     std::vector<Subsets::Item> items;
     std::vector<Backend*> all;
+    // Each gateway has its part of each kind; where requests go by zones, of each kind in each of them.
+    std::map<std::pair<std::string, std::string>, std::vector<Backend*>> groups;
+    for (auto& [id, b] : servers_) {
+      b.mine = false;
+      if (b.up) groups[{b.info.kind, set_.locality.on ? b.info.zone : std::string()}].push_back(&b);
+    }
     int group = 0;
     std::uint64_t of =
         XXH3_64bits_withSeed(&slot_, sizeof slot_, static_cast<std::uint64_t>(set_.subset * 1000 + listed_));
-    for (auto& [name, kind] : kinds_) {
-      for (auto& [id, b] : servers_) {
-        if (&kind != b.kind) continue;
-        b.mine = false;
-        if (!b.up) continue;
-        items.push_back({group, b.hash});
-        all.push_back(&b);
-        of = XXH3_64bits_withSeed(&b.hash, sizeof b.hash, of);
+    for (const auto& [of_group, members] : groups) {
+      for (Backend* const b : members) {
+        items.push_back({group, b->hash});
+        all.push_back(b);
+        of = XXH3_64bits_withSeed(&b->hash, sizeof b->hash, of);
       }
       ++group;
     }
--- a/src/decision/picker.hpp
+++ b/src/decision/picker.hpp
@@ -2,14 +2,14 @@
 #ifndef MEADOWYARD_DECISION_PICKER_HPP_
 #define MEADOWYARD_DECISION_PICKER_HPP_
 
-#include "decision/membership.hpp"
+#include "decision/locality.hpp"
 
 namespace meadowyard {
 
 constexpr double kCrossing = 1.3;  // cost of a server in another zone, times its own: crossing is priced
 constexpr double kPooled = 2;      // samples that the latency of a server's kind counts for
 
-class Picker : protected Membership {
+class Picker : protected Zones {
  protected:
   double Cost(const Backend& b) {
     // A few samples of a server tell little: where many share it they are shrunk toward those of its kind.
@@ -36,6 +36,7 @@
   Backend* Pick(const Flow& flow) {
     const bool repeatable = classes_[flow.cls].set.effect == Effect::kSafe && flow.attempts.empty();
     const Backend* last = flow.attempts.empty() ? nullptr : flow.attempts.back().server;
+    const std::string* const zone = ZoneFor(flow);
     Backend* trial = nullptr;
     bool trusted = false;
     candidates_.clear();
@@ -44,6 +45,8 @@
       if (!b.up || (flow.only != 0 ? (b.hash | 1) != flow.only : !b.mine || &b == last) || !Allowed(flow, b))
         continue;
       if (flow.holds && set_.most_held > 0 && b.held + b.in_flight >= set_.most_held) continue;
+      // Suspects of the own zone are tried wherever requests go: nobody else may be there to find out.
+      if (zone != nullptr && b.info.zone != *zone && !(b.suspect && b.info.zone == set_.zone)) continue;
       // A suspect returns by one trial at a time, with a request that may run again; with any where nobody is
       // trusted, for else it would never return where none may.
       if (b.suspect) {
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -1,6 +1,6 @@
 // The decisions of meadowyard. Their interface (settings, events, actions) is include/meadowyard/policy.hpp.
 // Each mechanism is a layer over the state (state.hpp) that sees only the layers below it: fleet, trust,
-// membership, picker, rate, queues. Here they meet: a request from its arrival to its answer.
+// membership, locality, picker, rate, queues. Here they meet: a request from its arrival to its answer.
 #include "meadowyard/policy.hpp"
 
 #include <algorithm>
@@ -36,7 +36,10 @@
 
   using Membership::Knows;
   using Membership::Tell;
+  using State::Count;
+  using State::parts_;
   using State::Recall;
+  using Zones::Look;
 
   bool MayUse(const std::string& id) const {
     const auto found = servers_.find(id);
@@ -48,21 +51,6 @@
     return TierOf(name, std::nullopt, now) != nullptr ? Admission::kNoEffect : Admission::kNoClass;
   }
 
-  Census Count() const {
-    Census census;
-    census.open = static_cast<int>(flows_.size());
-    census.queued = static_cast<int>(queued_);
-    census.sharers = Gateways();
-    for (const auto& [id, b] : servers_) {
-      census.in_flight += b.in_flight;
-      census.held += b.held;
-      census.listed += b.listed;
-      census.avoided += b.listed && (!b.up || b.suspect);
-      census.used += b.mine;
-    }
-    return census;
-  }
-
   void Handle(Millis now, const Event& event, std::vector<Action>& out) {
     out_ = &out;
     Refill(now);
@@ -74,7 +62,7 @@
   }
 
  private:
-  using Membership::On;
+  using Zones::On;
 
   // ---- Settings --------------------------------------------------------------------------------
 
@@ -108,6 +96,7 @@
     const double worth = Validate(changed.settings);  // throws before anything is changed
     set_ = changed.settings;
     Apply(worth);
+    Spread();
     ChooseSubset();
   }
 
@@ -128,6 +117,7 @@
     flow.holds = r.holds;
     flow.key = r.key.empty() ? 0 : Hash(r.key) | 1;
     flow.arrived = now_;
+    if (set_.locality.on) flow.draw = Uniform();
     arriving_ += 1 / kLongMemory;
     // A client that claims more than its class allows must not hold a place for as long.
     const Millis left = std::isfinite(r.time_left) ? std::clamp(r.time_left, 0.0, c.set.deadline) : 0.0;
@@ -146,8 +136,9 @@
     flow.aim_at = std::min(now_ + c.set.aim, flow.leaves_at);
     flow.in_share = !late && InShare(r.tenant, marked);
     retry_budget_ = std::min(retry_budget_ + kRetryShare, kRetryBurst);
-    if (late && marked && c.set.late_worth <= 0) return Answer(flow);  // worth nothing any more
-    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);   // no sweep may come in time
+    if (late && marked && c.set.late_worth <= 0) return Answer(flow);    // worth nothing any more
+    if (now_ >= flow.leaves_at - kAnswerBefore) return Answer(flow);     // no sweep may come in time
+    if (flow.only == 0 && flow.draw > 1 - beyond_) return Answer(flow);  // no zone has room for it
     if (queued_ == 0 && tokens_ > 0 && Room()) {
       if (Backend* b = Pick(flow)) return Dispatch(flow, *b);
     }
@@ -204,6 +195,9 @@
     const Tier& c = classes_[flow.cls];
     const Millis enough = std::min(kEnough * c.latency, c.set.aim / 2);
     if (o.result == Result::kTimedOut && flow.attempts[o.attempt].timeout < enough) return;
+    const bool good = o.result == Result::kServed && o.latency <= c.set.aim;
+    const bool told = set_.locality.on && o.result != Result::kRejected;  // full is not ill
+    if (told) zones_[b.info.zone].Add(now_, good);
     MoveRate(b, flow, o);  // first: by whether the server was held ready until now
     Hear(b, o.load);
     Judge(b, flow, o);
@@ -331,6 +325,8 @@
 }
 Policy::Census Policy::census() const { return impl_->Count(); }
 Gossip Policy::gossip() const { return impl_->Tell(); }
+Sights Policy::sights() const { return impl_->Look(); }
+std::vector<std::pair<std::string, double>> Policy::parts() const { return impl_->parts_; }
 Recollection Policy::recall() const { return impl_->Recall(); }
 
 }  // namespace meadowyard
--- a/src/decision/queues.hpp
+++ b/src/decision/queues.hpp
@@ -105,12 +105,17 @@
     return {};
   }
 
-  // The head of a class's queues with a server for it. One that not every server may take holds nobody up.
+  // The head of a class's queues with a server for it. One that not every server may take holds nobody up,
+  // and one that waits for a zone holds up those for the same alone.
   Released FirstToGo(Tier& c) {
     for (auto* line : {&c.retries, &c.in_share, &c.over_share}) {
+      std::set<const std::string*> full;
       for (Flow* flow : *line) {
+        const bool plain = flow->only == 0 && flow->attempts.empty() && !flow->holds;
+        const std::string* const zone = ZoneFor(*flow);
+        if (plain && full.contains(zone)) continue;
         if (Backend* const b = Pick(*flow)) return {flow, b};
-        if (flow->only == 0 && flow->attempts.empty() && !flow->holds) return {};
+        if (plain && full.insert(zone).second && full.size() >= parts_.size()) return {};
       }
     }
     return {};
--- a/src/decision/settings.cpp
+++ b/src/decision/settings.cpp
@@ -25,6 +25,9 @@
   Check(NotNegative(s.cold_for), "cold_for: must not be negative");
   Check(Positive(s.fall_multiple), "fall_multiple: must be above 0");
   Check(s.subset >= 0, "subset: must not be negative");
+  Check(std::isfinite(s.locality.spare) && s.locality.spare >= 1, "locality.spare: must be at least 1");
+  Check(s.locality.panic >= 0 && s.locality.panic <= 1, "locality.panic: must be in [0, 1]");
+  Check(NotNegative(s.locality.most_extra), "locality.most_extra: must not be negative");
   Check(s.streams >= 1, "streams: must be at least 1");
   Check(Positive(s.ask_within), "ask_within: must be above 0");
   Check(NotNegative(s.max_retry_after), "max_retry_after: must not be negative");
--- a/src/decision/state.hpp
+++ b/src/decision/state.hpp
@@ -22,6 +22,7 @@
 namespace meadowyard {
 
 constexpr Millis kNever = -1e15;
+constexpr Millis kSightMemory = 2000;  // over which what is seen of a zone fades
 
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
@@ -99,6 +100,7 @@
   std::uint64_t only = 0;  // hash of the one server that it may go to; 0 = any
   bool holds = false;
   Millis arrived = 0, aim_at = 0, leaves_at = 0;
+  double draw = 0;  // 0 to 1: to which zone it goes
   bool in_share = true;
   bool answered = false;
   bool queued = false;
@@ -146,6 +148,19 @@
   double within = 1;  // part of its first tries that was within its share, smoothed
 };
 
+// Attempts that ended at a zone's servers, fading.
+struct ZoneCounts {
+  double ended = 0, good = 0;
+  Millis at = 0;
+
+  double Keep(Millis now) const { return std::exp((at - now) / kSightMemory); }
+  void Add(Millis now, bool is_good) {
+    const double keep = Keep(now);
+    ended = ended * keep + 1, good = good * keep + is_good;
+    at = now;
+  }
+};
+
 // All that one Policy remembers.
 struct State {
   Settings set_;
@@ -184,7 +199,11 @@
   int listed_ = 1, present_ = 1, slot_ = 0;
   Millis in_touch_until_ = kNever;
   double share_before_ = std::numeric_limits<double>::infinity();  // reference_ when last in touch
-  std::vector<std::string> subset_;  // ids, sorted, and what they were chosen by
+  std::map<std::string, ZoneCounts> zones_;                        // attempts that ended, by zone
+  ZonesAgreed agreed_;
+  std::vector<std::pair<std::string, double>> parts_;  // by zone; none: nothing was agreed
+  double beyond_ = 0;                                  // share of requests that no zone has room for
+  std::vector<std::string> subset_;                    // ids, sorted, and what they were chosen by
   std::uint64_t subset_of_ = 0;
 
   // Gateways that what all share is split among.
@@ -212,6 +231,21 @@
     return classes_.emplace_back();
   }
 
+  Policy::Census Count() const {
+    Policy::Census census;
+    census.open = static_cast<int>(flows_.size());
+    census.queued = static_cast<int>(queued_);
+    census.sharers = Gateways();
+    for (const auto& [id, b] : servers_) {
+      census.in_flight += b.in_flight;
+      census.held += b.held;
+      census.listed += b.listed;
+      census.avoided += b.listed && (!b.up || b.suspect);
+      census.used += b.mine;
+    }
+    return census;
+  }
+
   Flow* Find(const std::string& id) {
     const auto found = flows_.find(id);
     return found == flows_.end() ? nullptr : &found->second;
--- a/src/duties/list_duty.hpp
+++ b/src/duties/list_duty.hpp
@@ -48,6 +48,8 @@
   void Hear(Millis now, int from, const Lease::Word& word);
   void Hear(Millis now, int from, const ListPart& part);
   void Hear(Millis now, int from, const ListWanted& wanted);
+  void Hear(Millis, int, const ZonesWord&) {}  // another duty's
+  void Hear(Millis, int, const ZonesVote&) {}
   void Post(const std::vector<Lease::Letter>& letters);
   void SendList(int to, const HostList& list, std::int64_t after);
   void Decide(Millis now);
--- a/src/duties/words.cpp
+++ b/src/duties/words.cpp
@@ -1,5 +1,7 @@
 #include "duties/words.hpp"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -11,6 +13,7 @@
 constexpr int kVersion = 1;
 constexpr std::size_t kMostName = 128;
 constexpr std::uint32_t kMostParts = 1000;
+const std::array<std::string, 2> kDuties = {"list", "zones"};
 
 std::uint64_t Whole(const json& value, std::uint64_t most = ~0ull) {
   if (!value.is_number_unsigned() || value.get<std::uint64_t>() > most) throw std::invalid_argument("number");
@@ -34,6 +37,36 @@
           {"part", p.part},     {"parts", p.parts}, {"hosts", p.parts > 0 ? ToText(list) : ""}};
 }
 json Body(const ListWanted& w) { return {{"wanted", true}, {"token", w.token}}; }
+json Body(const ZonesWord& w) {
+  json zones = json::array();
+  for (const ZonesAgreed::Zone& z : w.state.zones) zones.push_back({z.name, z.health, z.size, z.demand});
+  return {{"stand", static_cast<std::uint64_t>(w.kind)},
+          {"token", w.token},
+          {"term", w.state.term},
+          {"version", w.state.version},
+          {"zones", zones}};
+}
+json Body(const ZonesVote& v) { return {{"vote", v.version}, {"token", v.token}}; }
+
+double Amount(const json& value, double most) {
+  const double read = value.get<double>();
+  if (!(read >= 0 && read <= most)) throw std::invalid_argument("number");
+  return read;
+}
+
+ZonesWord ReadZones(const json& all) {
+  ZonesWord w{static_cast<ZonesWord::Kind>(Whole(all.at("stand"), 2)),
+              Whole(all.at("token")),
+              {Whole(all.at("term")), Whole(all.at("version")), {}}};
+  const json& zones = all.at("zones");
+  if (!zones.is_array() || zones.size() > kMostZones) throw std::invalid_argument("zones");
+  for (const json& z : zones) {
+    const auto& name = z.at(0).get_ref<const std::string&>();
+    if (name.size() > kMostName) throw std::invalid_argument("zone");
+    w.state.zones.push_back({name, Amount(z.at(1), 1), Amount(z.at(2), 1e9), Amount(z.at(3), 1e9)});
+  }
+  return w;
+}
 
 DutyWord Read(const json& all) {
   const Token token = Whole(all.at("token"));
@@ -44,6 +77,8 @@
                        Whole(all.at("seen")), static_cast<int>(holder)};
   }
   if (all.contains("wanted")) return ListWanted{token};
+  if (all.contains("stand")) return ReadZones(all);
+  if (all.contains("vote")) return ZonesVote{token, Whole(all.at("vote"))};
   ListPart part;
   part.token = token;
   part.revision = Revision(all.at("list"));
@@ -61,11 +96,11 @@
 
 }  // namespace
 
-std::vector<std::uint8_t> ToBytes(const std::string& from, const DutyWord& word) {
+std::vector<std::uint8_t> ToBytes(const std::string& from, Duty duty, const DutyWord& word) {
   json all = std::visit([](const auto& w) { return Body(w); }, word);
   all["v"] = kVersion;
   all["from"] = from;
-  all["duty"] = "list";
+  all["duty"] = kDuties[static_cast<std::size_t>(duty)];
   return json::to_cbor(all);
 }
 
@@ -73,9 +108,11 @@
   if (size > kMostDutyWord) return std::nullopt;
   try {
     const json all = json::from_cbor(bytes, bytes + size, true, false);
-    if (!all.is_object() || all.value("duty", "") != "list" || Whole(all.at("v")) != kVersion)
-      return std::nullopt;
+    if (!all.is_object() || Whole(all.at("v")) != kVersion) return std::nullopt;
+    const auto duty = std::find(kDuties.begin(), kDuties.end(), all.value("duty", ""));
+    if (duty == kDuties.end()) return std::nullopt;
     FromPeer read;
+    read.duty = static_cast<Duty>(duty - kDuties.begin());
     read.from = all.at("from").get_ref<const std::string&>();
     if (read.from.empty() || read.from.size() > kMostName) return std::nullopt;
     read.word = Read(all);
--- a/src/duties/words.hpp
+++ b/src/duties/words.hpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMostDutyWord = 8192;  // bytes
 constexpr std::size_t kHostsInAPart = 20;    // of a list: a part stays far below that
+constexpr std::size_t kMostZones = 32;       // the same of zones
 
 // From whoever reads the list of hosts for all: that it is at a revision, or a part of what leads there.
 struct ListPart {
@@ -29,11 +30,27 @@
 struct ListWanted {
   Token token = 0;  // as it was told
 };
-using DutyWord = std::variant<Lease::Word, ListPart, ListWanted>;
 
-std::vector<std::uint8_t> ToBytes(const std::string& from, const DutyWord& word);
+// How the zones stand: offered to all, agreed by more than half, or known to the sender where the holder of
+// the duty is behind.
+struct ZonesWord {
+  enum class Kind { kOffer, kAgreed, kKnown } kind = Kind::kOffer;
+  Token token = 0;  // of the holder; none of one that knows better
+  ZonesAgreed state;
+};
+// To the holder: the sender goes along with what it offered.
+struct ZonesVote {
+  Token token = 0;
+  std::uint64_t version = 0;
+};
+
+using DutyWord = std::variant<Lease::Word, ListPart, ListWanted, ZonesWord, ZonesVote>;
+enum class Duty { kList, kZones };  // each has a lease of its own
+
+std::vector<std::uint8_t> ToBytes(const std::string& from, Duty duty, const DutyWord& word);
 struct FromPeer {
   std::string from;
+  Duty duty = Duty::kList;
   DutyWord word;
 };
 // Nothing if it is no such word, or any part of it is not what it should be.
--- /dev/null
+++ b/src/duties/zone_judge.cpp
@@ -0,0 +1,127 @@
+#include "duties/zone_judge.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "duties/words.hpp"
+
+namespace meadowyard {
+namespace {
+
+constexpr double kStep = 0.1;           // levels are whole multiples of it
+constexpr double kFall = 0.2;           // a level falls by so much at the least, or to nothing
+constexpr double kRise = 0.2;           // and rises by so much at the most
+constexpr double kFailed = 0.3;         // below it a zone counts as failed
+constexpr double kEnough = 3;           // attempts that have to have ended for their share to tell anything
+constexpr Millis kSizeMemory = 600000;  // over which servers that are there no more are forgotten
+constexpr double kDemandMoves = 0.3;    // share by which demand has to differ to be agreed anew
+constexpr Millis kDemandEvery = 5000;   // and the time from one such change to the next
+constexpr double kLittle = 1;           // request a second
+
+double Rounded(double health) { return std::round(std::clamp(health, 0.0, 1.0) / kStep) * kStep; }
+
+}  // namespace
+
+void ZoneJudge::See(Millis now, int gateway, const Sights& sights) { seen_[gateway] = {now, sights}; }
+
+std::map<std::string, ZoneJudge::Now> ZoneJudge::Look(Millis now) {
+  struct Sum {
+    double fit = 0, ended = 0, good = 0;
+    int from = 0;
+  };
+  std::map<std::string, Sum> near, far;  // as those see it that stand there, and all others that go there
+  std::map<std::string, Now> all;
+  for (const auto& [gateway, seen] : seen_) {
+    if (now - seen.at >= times_.fresh) continue;
+    all[seen.sights.zone].demand += seen.sights.arriving;
+    for (const ZoneSight& z : seen.sights.zones) {
+      Now& zone = all[z.zone];
+      zone.size = std::max(zone.size, z.size);
+      const bool own = z.zone == seen.sights.zone;
+      if (!own && z.ended < kEnough) continue;
+      Sum& sum = (own ? near : far)[z.zone];
+      sum.fit += z.fit, sum.ended += z.ended, sum.good += z.good, ++sum.from;
+    }
+  }
+  for (const auto& [name, known] : zones_) all[name];  // those that nobody sees any more, too
+  for (auto& [name, zone] : all) {
+    Zone& known = zones_[name];
+    known.size = std::max(zone.size, known.size * std::exp((known.sized_at - now) / kSizeMemory));
+    known.sized_at = now;
+    const Sum sum = near.contains(name) ? near[name] : far[name];
+    if (zone.size <= 0) {
+      zone.health = 0;  // all of its servers have left the list
+    } else if (sum.from == 0) {
+      zone.health = 1;  // nobody knows better; if it is not, whoever goes there will see
+    } else {
+      zone.health = sum.fit / sum.from / known.size;
+      if (sum.ended >= kEnough) zone.health = std::min(zone.health, sum.good / sum.ended);
+    }
+    zone.size = known.size;
+  }
+  return all;
+}
+
+double ZoneJudge::Next(Millis now, Zone& zone, double level, double target) const {
+  const bool low = target < level && (target <= level - kFall + kStep / 2 || target <= 0);
+  const bool high = target > level;
+  if (!low) zone.low_since = 0;
+  if (!high) zone.high_since = 0;
+  if (low && zone.low_since == 0) zone.low_since = now;
+  if (high && zone.high_since == 0) zone.high_since = now;
+  if (low && now - zone.low_since >= times_.falls) return target;
+  if (high && now - zone.high_since >= times_.rises && now >= zone.held_until)
+    return std::min(target, Rounded(level + kRise));
+  return level;
+}
+
+std::optional<std::vector<ZonesAgreed::Zone>> ZoneJudge::Wants(Millis now,
+                                                               const std::vector<ZonesAgreed::Zone>& agreed) {
+  const auto fresh = std::count_if(seen_.begin(), seen_.end(),
+                                   [&](const auto& s) { return now - s.second.at < times_.fresh; });
+  if (2 * fresh <= gateways_) return std::nullopt;
+  auto all = Look(now);
+  bool changed = false, moved = false;
+  std::vector<ZonesAgreed::Zone> next = agreed;
+  for (ZonesAgreed::Zone& z : next) {
+    const Now& seen = all[z.name];
+    const double level =
+        Next(now, zones_[z.name], z.health, seen.health < kFailed ? 0 : Rounded(seen.health));
+    changed = changed || level != z.health;
+    z.health = level, z.size = seen.size;
+    moved =
+        moved || std::abs(seen.demand - z.demand) > kDemandMoves * std::max(seen.demand, z.demand) + kLittle;
+    z.demand = seen.demand;
+    all.erase(z.name);
+  }
+  for (const auto& [name, seen] : all) {
+    if (next.size() >= kMostZones) break;
+    changed = true;
+    next.push_back({name, seen.health < kFailed ? 0 : Rounded(seen.health), seen.size, seen.demand});
+  }
+  if (!changed && (!moved || now - changed_at_ < kDemandEvery)) return std::nullopt;
+  return next;
+}
+
+void ZoneJudge::Agreed(Millis now, const std::vector<ZonesAgreed::Zone>& before,
+                       const std::vector<ZonesAgreed::Zone>& after) {
+  changed_at_ = now;
+  for (const ZonesAgreed::Zone& z : after) {
+    const auto old =
+        std::find_if(before.begin(), before.end(), [&](const auto& b) { return b.name == z.name; });
+    if (old == before.end() || old->health == z.health) continue;
+    Zone& zone = zones_[z.name];
+    zone.low_since = zone.high_since = 0;
+    if (z.health > old->health) {
+      zone.rose = true;
+      continue;
+    }
+    // Once more after it had come back: each time it is left alone for longer.
+    zone.hold = zone.rose ? std::min(std::max(2 * zone.hold, times_.hold), times_.most_hold)
+                          : std::max(zone.hold, times_.hold);
+    zone.rose = false;
+    zone.held_until = now + zone.hold;
+  }
+}
+
+}  // namespace meadowyard
--- /dev/null
+++ b/src/duties/zone_judge.hpp
@@ -0,0 +1,62 @@
+// What a fleet's gateways see of the zones, put together, and when that is reason to change what was agreed:
+// a fall soon, a rise slowly and in steps, and the more slowly the more often it was in vain. No I/O.
+#ifndef MEADOWYARD_DUTIES_ZONE_JUDGE_HPP_
+#define MEADOWYARD_DUTIES_ZONE_JUDGE_HPP_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "meadowyard/policy.hpp"
+
+namespace meadowyard {
+
+class ZoneJudge {
+ public:
+  struct Times {
+    Millis fresh = 1000;        // what was seen longer ago does not count
+    Millis falls = 300;         // a zone has to look worse for so long
+    Millis rises = 1000;        // and better for so long, for each step
+    Millis hold = 5000;         // after a fall; doubles where it fell again after a rise
+    Millis most_hold = 300000;  // and is at most
+  };
+  ZoneJudge(int gateways, Times times) : gateways_(gateways), times_(times) {}
+
+  void See(Millis now, int gateway, const Sights& sights);
+  // What is in force changes: rests begin anew from there.
+  void Agreed(Millis now, const std::vector<ZonesAgreed::Zone>& before,
+              const std::vector<ZonesAgreed::Zone>& after);
+  // What should be agreed in place of `agreed`, or nothing. To be asked again and again by whoever may
+  // propose.
+  std::optional<std::vector<ZonesAgreed::Zone>> Wants(Millis now,
+                                                      const std::vector<ZonesAgreed::Zone>& agreed);
+
+ private:
+  struct Seen {
+    Millis at = 0;
+    Sights sights;
+  };
+  struct Zone {
+    double size = 0;  // with all its servers: the most that was seen, slowly forgotten
+    Millis sized_at = 0;
+    Millis low_since = 0, high_since = 0;  // 0: is not
+    Millis held_until = 0, hold = 0;
+    bool rose = false;  // since its last fall
+  };
+  struct Now {
+    double health = 0, size = 0, demand = 0;
+  };
+  std::map<std::string, Now> Look(Millis now);
+  double Next(Millis now, Zone& zone, double level, double target) const;
+
+  const int gateways_;
+  const Times times_;
+  std::map<int, Seen> seen_;  // by gateway
+  std::map<std::string, Zone> zones_;
+  Millis changed_at_ = 0;
+};
+
+}  // namespace meadowyard
+
+#endif  // MEADOWYARD_DUTIES_ZONE_JUDGE_HPP_
--- a/src/edge/table_reader.hpp
+++ b/src/edge/table_reader.hpp
@@ -36,6 +36,18 @@
     Fail(key, "must be a text");
   }
 
+  std::vector<std::string> Texts(std::string_view key) {
+    const toml::node* const node = Find(key, false);
+    const toml::array* const list = node->as_array();
+    if (list == nullptr || list->empty()) Fail(key, "must be a list of texts");
+    std::vector<std::string> texts;
+    for (const toml::node& item : *list) {
+      if (!item.is_string()) Fail(item.source().begin.line, key, "must be a list of texts");
+      texts.push_back(item.as_string()->get());
+    }
+    return texts;
+  }
+
   bool Flag(std::string_view key, bool otherwise) {
     const toml::node* const node = Find(key, true);
     if (node == nullptr) return otherwise;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -17,8 +17,6 @@
 #include <sstream>
 #include <stdexcept>
 
-#include "duties/words.hpp"
-
 namespace meadowyard::lab {
 namespace {
 
@@ -75,6 +73,7 @@
     if (c.effect == Effect::kUnsafe) identity.unsafe.push_back(c.name);
   }
   ledger_.hosts.push_back(identity.id);
+  ledger_.halls.push_back(hall);
   ledger_.uses.emplace_back();
   Place place;
   place.member = {identity.id, "", hall, kind.name, "up", 1.0, 0};
@@ -168,10 +167,13 @@
 
 // Duties among what gateways tell each other. Who is told of a host by another gateway was told of it.
 void Fleet::Overheard(int from, int to, const char* bytes, std::size_t size, bool arrived) {
+  if (!arrived) ++ledger_.peer_words;
   const auto word = ParseDutyWord(reinterpret_cast<const std::uint8_t*>(bytes), size);
-  const auto* const part = word ? std::get_if<ListPart>(&word->word) : nullptr;
+  if (!word) return;
+  if (word->duty == Duty::kZones) return OverheardOfHalls(from, to, word->word, arrived);
+  const auto* const part = std::get_if<ListPart>(&word->word);
   if (part == nullptr) return;
-  if (!arrived) return ledger_.acts.push_back({Clock(), from, to, part->token, part->revision});
+  if (!arrived) return ledger_.acts.push_back({Clock(), from, to, part->token, part->revision, 0});
   for (const Host& host : part->hosts) {
     const auto known = std::find(ledger_.hosts.begin(), ledger_.hosts.end(), host.server.id);
     if (known == ledger_.hosts.end()) continue;
@@ -180,6 +182,23 @@
   }
 }
 
+void Fleet::OverheardOfHalls(int from, int to, const DutyWord& word, bool arrived) {
+  HallsWord seen;
+  (arrived ? seen.arrived : seen.left) = Clock();
+  seen.from = from, seen.to = to;
+  if (const auto* const vote = std::get_if<ZonesVote>(&word)) {
+    seen.kind = HallsWord::Kind::kVote, seen.term = vote->token, seen.version = vote->version;
+  } else if (const auto* const stand = std::get_if<ZonesWord>(&word)) {
+    seen.kind = static_cast<HallsWord::Kind>(stand->kind);
+    seen.term = stand->state.term, seen.version = stand->state.version;
+    for (const auto& zone : stand->state.zones) seen.health.push_back({zone.name, zone.health});
+    if (!arrived && stand->token > 0) ledger_.acts.push_back({Clock(), from, to, stand->token, 0, 1});
+  } else {
+    return;
+  }
+  ledger_.words.push_back(std::move(seen));
+}
+
 Relay* Fleet::RelayOf(int gateway, int host) {
   const auto found = relays_.find({gateway, host});
   return found == relays_.end() ? nullptr : found->second.get();
@@ -274,7 +293,11 @@
 std::string ToText(const FleetLedger& l) {
   json executions = json::array(), told = json::array(), events = json::array(), uses = json::array();
   json acts = json::array();
-  for (const DutyAct& a : l.acts) acts.push_back({a.at, a.gateway, a.to, a.token, a.revision});
+  for (const DutyAct& a : l.acts) acts.push_back({a.at, a.gateway, a.to, a.token, a.revision, a.duty});
+  json words = json::array();
+  for (const HallsWord& w : l.words) {
+    words.push_back({static_cast<int>(w.kind), w.left, w.arrived, w.from, w.to, w.term, w.version, w.health});
+  }
   for (const HostUse& u : l.uses) uses.push_back({u.connections, u.most_connections, u.cold});
   for (const Execution& e : l.executions) {
     executions.push_back(
@@ -285,12 +308,15 @@
   return json{{"hosts", l.hosts},
               {"uses", uses},
               {"acts", acts},
+              {"halls", l.halls},
+              {"words", words},
               {"executions", executions},
               {"told", told},
               {"events", events},
               {"connections", l.connections},
               {"most_connections", l.most_connections},
               {"probes", l.probes},
+              {"peer_words", l.peer_words},
               {"bad_requests", l.bad_requests},
               {"discovery_calls", l.discovery_calls}}
              .dump() +
@@ -305,12 +331,18 @@
     l.executions.push_back(
         {e[0], e[1], e[2], e[3], e[4], e[5], e[6], static_cast<Execution::Outcome>(e[7].get<int>())});
   }
-  for (const json& a : j.at("acts")) l.acts.push_back({a[0], a[1], a[2], a[3], a[4]});
+  for (const json& a : j.at("acts")) l.acts.push_back({a[0], a[1], a[2], a[3], a[4], a[5]});
+  l.halls = j.at("halls").get<std::vector<std::string>>();
+  for (const json& w : j.at("words")) {
+    l.words.push_back({static_cast<HallsWord::Kind>(w[0].get<int>()), w[1], w[2], w[3], w[4], w[5], w[6],
+                       w[7].get<std::vector<std::pair<std::string, double>>>()});
+  }
   for (const json& u : j.at("uses")) l.uses.push_back({u[0], u[1], u[2]});
   for (const json& t : j.at("told")) l.told.push_back({t[0], t[1], t[2], t[3]});
   for (const json& e : j.at("events")) l.events.push_back({e[0], e[1], e[2].get<std::string>()});
   l.connections = j.at("connections"), l.most_connections = j.at("most_connections"),
   l.probes = j.at("probes");
+  l.peer_words = j.at("peer_words");
   l.bad_requests = j.at("bad_requests"), l.discovery_calls = j.at("discovery_calls");
   return l;
 }
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "duties/words.hpp"
 #include "lab/discovery_stand_in.hpp"
 #include "lab/host.hpp"
 #include "lab/peer_links.hpp"
@@ -51,6 +52,7 @@
   void Replace(int host);
   void Cut(const Trouble& trouble, Random& random);
   Relay* RelayOf(int gateway, int host);
+  void OverheardOfHalls(int from, int to, const DutyWord& word, bool arrived);
   void Overheard(int from, int to, const char* bytes, std::size_t size, bool arrived);
 
   boost::asio::io_context& io_;
--- a/src/lab/fleet_figures.cpp
+++ b/src/lab/fleet_figures.cpp
@@ -117,10 +117,11 @@
   if (sum > 0) f.most_load = most * hosts / sum, f.least_load = least * hosts / sum;
   const DutyAct* last = nullptr;
   for (const DutyAct& act : ledger.acts) {
+    if (act.duty != 0) continue;
+    ++f.acts;
     if (last != nullptr && last->gateway != act.gateway) f.gaps.push_back(act.at - last->at);
     last = &act;
   }
-  f.acts = ledger.acts.size();
   f.hand_overs = f.gaps.size();
   f.pairs = PairsOf(run, run.start, INFINITY).size();
   f.pairs_a_gateway = static_cast<double>(f.pairs) / run.experiment.gateways.count;
@@ -162,9 +163,20 @@
     line({{"acted", a.gateway},
           {"at_s", at(a.at)},
           {"to", a.to},
+          {"duty", a.duty == 0 ? "list" : "halls"},
           {"token", a.token},
           {"revision", a.revision}});
   }
+  for (const HallsWord& w : run.ledger.words) {
+    line({{"halls_word", static_cast<int>(w.kind)},
+          {"from", w.from},
+          {"to", w.to},
+          {"left_s", at(w.left)},
+          {"arrived_s", at(w.arrived)},
+          {"term", w.term},
+          {"version", w.version},
+          {"health", w.health}});
+  }
   for (const Try& t : run.tries) {
     line({{"try", t.id},
           {"arrival", t.arrival},
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -27,6 +27,10 @@
 constexpr Millis kPoll = 50;
 constexpr Millis kWatch = 200;  // from asking what a gateway sees of its peers to the next time
 
+bool Holds(const nlohmann::json& said, const char* duty) {
+  return said.contains(duty) && said[duty]["holds"].get<bool>();
+}
+
 void Nap(Millis ms) { std::this_thread::sleep_for(Wait(ms)); }
 
 }  // namespace
@@ -83,6 +87,12 @@
       std::find(spec.old_lists.begin(), spec.old_lists.end(), static_cast<int>(g)) != spec.old_lists.end();
   for (std::size_t p = 0; p + (old ? 1 : 0) < peers_[g].size(); ++p)
     file << fmt::format("[[peer]]\nname = \"g{}\"\naddress = \"{}\"\n", p, peers_[g][p]);
+  const ZonesSpec& zones = experiment_.zones;
+  if (!zones.on) return;
+  file << fmt::format("[zones]\nspare = {}\npanic = {}\nmost_extra = {}\nhold_ms = {}\n", zones.spare,
+                      zones.panic, zones.most_extra, zones.hold);
+  for (const auto& region : zones.regions)
+    file << "[[region]]\nzones = " << nlohmann::json(region).dump() << "\n";
 }
 
 void Gateways::Launch(std::size_t g) {
@@ -158,8 +168,7 @@
                        if (said.is_object() && said.contains("present")) {
                          seen_.push_back({Clock(), static_cast<int>(g), said["listed"], said["present"],
                                           said["place"], said["shared_among"], said["hosts_used"],
-                                          said["in_touch"],
-                                          said.contains("list") && said["list"]["holds"].get<bool>()});
+                                          said["in_touch"], Holds(said, "list") || Holds(said, "zones")});
                        }
                      },
                      nullptr, [](ClientStream::End) {}});
--- a/src/lab/lab_main.cpp
+++ b/src/lab/lab_main.cpp
@@ -21,6 +21,7 @@
 #include "lab/faulty_gateway.hpp"
 #include "lab/fleet.hpp"
 #include "lab/fleet_figures.hpp"
+#include "lab/hall_figures.hpp"
 #include "lab/relay.hpp"
 #include "lab/report.hpp"
 #include "lab/tunnels.hpp"
@@ -125,6 +126,15 @@
   return 0;
 }
 
+std::string BrokenRules(const lab::Report& r) {
+  std::string broken;
+  for (const lab::Finding& f : r.findings) {
+    if (f.count > 0)
+      broken += fmt::format("{}{}: {}", broken.empty() ? "" : ", ", lab::Name(f.rule), f.count);
+  }
+  return broken.empty() ? "kept" : broken;
+}
+
 // One file at several sizes of the fleet of gateways, each without and with what they tell each other.
 int RunFleet(const Options& o) {
   lab::Experiment e = lab::ReadExperiment(o.file);
@@ -145,19 +155,14 @@
       if (run.interrupted) return 3;
       const lab::Report r = lab::MakeReport(run);
       const lab::FleetFigures f = lab::FiguresOf(run);
-      std::string broken;
-      for (const lab::Finding& finding : r.findings) {
-        if (finding.count > 0)
-          broken +=
-              fmt::format("{}{}: {}", broken.empty() ? "" : ", ", lab::Name(finding.rule), finding.count);
-      }
-      good = good && r.valid && (broken.empty() || !on);
+      const std::string broken = BrokenRules(r);
+      good = good && r.valid && (broken == "kept" || !on);
       std::cout << fmt::format(
                        "| {} | {} | {:.1f}% | {:.2f}, {:.2f} | {:.1f} | {:.0f} | {:.0f}% | {} | {}{} |\n",
                        size, on ? "on" : "off", 100 * r.all.goodput(), f.most_load, f.least_load,
                        f.pairs_a_gateway, f.most_connections, 100 * f.cold,
-                       f.lost_one ? fmt::format("{:.1f}%", 100 * f.moved) : "-",
-                       broken.empty() ? "kept" : broken, r.valid ? "" : " (invalid run)")
+                       f.lost_one ? fmt::format("{:.1f}%", 100 * f.moved) : "-", broken,
+                       r.valid ? "" : " (invalid run)")
                 << std::flush;
       if (on && !o.trace.empty()) lab::WriteTrace(run, fmt::format("{}-{}.jsonl", o.trace, size));
     }
@@ -165,6 +170,72 @@
   return good ? 0 : 1;
 }
 
+// One file on several seeds, each in turns without [zones], every gateway for itself, and with it.
+int RunHalls(const Options& o) {
+  lab::Experiment e = lab::ReadExperiment(o.file);
+  if (!e.zones.on) throw lab::SpecError(o.file + ": zones: missing; there is nothing to agree on");
+  std::printf(
+      "| experiment, [zones] | seed | kept near before | goodput, worst 5 s | first fall agreed, known to "
+      "all, ms | longest "
+      "disagreement, ms | busiest hall over its load before | falls, flaps | rules |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  bool good = true;
+  for (int i = 0; i < o.pairs; ++i) {
+    const std::uint64_t seed = o.seed.value_or(e.seed) + static_cast<std::uint64_t>(i);
+    for (const bool on : {false, true}) {
+      e.zones.on = on;
+      e.window = 5000;
+      const lab::Run run = lab::Play(e, seed, PlayOptionsOf(o, e.name));
+      if (run.interrupted) return 3;
+      const lab::Report r = lab::MakeReport(run);
+      const lab::HallFigures& h = *r.halls;
+      double load = 0;
+      for (const auto& [hall, most] : h.most_load) load = std::max(load, most);
+      const std::string broken = BrokenRules(r);
+      good = good && r.valid && (!on || broken == "kept");
+      std::cout << fmt::format(
+                       "| {} {} | {} | {:.1f}% | {:.1f}%, {:.1f}% | {:.0f}, {:.0f} | {:.0f} | {:.2f} | {}, "
+                       "{} | {}{} |\n",
+                       e.name, on ? "on" : "off", seed, 100 * h.kept_before, 100 * r.all.goodput(),
+                       100 * r.worst_window, h.first_fall, h.moved, h.disagreed, load, h.falls, h.flaps,
+                       broken, r.valid ? "" : " (invalid run)")
+                << std::flush;
+    }
+  }
+  return good ? 0 : 1;
+}
+
+// One file with the duty of reading the list, on several seeds: how long the duty rests when its holder goes.
+int RunDuty(const Options& o) {
+  lab::Experiment e = lab::ReadExperiment(o.file);
+  if (!e.peers.share_list) throw lab::SpecError(o.file + ": peers.share_list: is off; there is no duty");
+  if (!o.gateways.empty()) e.gateways.count = o.gateways.front();
+  std::vector<double> gaps;
+  double words = 0, seconds = 0;
+  std::size_t acts = 0, doubled = 0;
+  for (int i = 0; i < o.pairs; ++i) {
+    const lab::Run run =
+        lab::Play(e, o.seed.value_or(e.seed) + static_cast<std::uint64_t>(i), PlayOptionsOf(o, e.name));
+    if (run.interrupted) return 3;
+    const lab::Report r = lab::MakeReport(run);
+    gaps.insert(gaps.end(), r.gaps.begin(), r.gaps.end());
+    acts += r.acts;
+    for (const lab::Finding& f : r.findings) doubled += f.rule == lab::Rule::kOneHolder ? f.count : 0;
+    words += static_cast<double>(run.ledger.peer_words);
+    seconds += e.duration / 1000;
+    if (!lab::Clean(r.findings))
+      std::printf("seed %llu: %s\n", static_cast<unsigned long long>(run.seed), BrokenRules(r).c_str());
+  }
+  const lab::Quantiles q = lab::QuantilesOf(gaps);
+  std::printf(
+      "%s, %d gateways: %zu hand-overs, median %.0f ms, p99 %.0f ms, worst %.0f ms; %zu acts, %zu by two "
+      "holders at "
+      "once; %.1f words a gateway and second\n",
+      e.name.c_str(), e.gateways.count, q.count, q.p50, q.p99, q.most, acts, doubled,
+      words / seconds / e.gateways.count);
+  return doubled == 0 ? 0 : 1;
+}
+
 // Subsets alone, in the model.
 int RunSubsets(const Options& o) {
   std::printf(
@@ -254,19 +325,15 @@
     double cpu = 0, peak = 0;
     for (const lab::GatewayCost& g : r.gateways)
       cpu += g.usage.cpu_ms, peak = std::max(peak, g.usage.peak_kb / 1024);
-    std::string broken;
-    for (const lab::Finding& f : r.findings) {
-      if (f.count > 0)
-        broken += fmt::format("{}{}: {}", broken.empty() ? "" : ", ", lab::Name(f.rule), f.count);
-    }
-    good = good && r.valid && broken.empty();
+    const std::string broken = BrokenRules(r);
+    good = good && r.valid && broken == "kept";
     std::cout
         << fmt::format(
                "| {} | {} | {} | {:.1f}% | {:.1f}% | {:.1f} | {:.1f} | {:.2f} | {:.0f} | {:.1f} | {}{} |\n",
                r.name, r.seed, r.all.asked, 100 * r.all.goodput(), 100 * r.worst_window, r.all.latency.p50,
                r.all.latency.p99, r.attempts,
-               1000 * cpu / std::max<double>(1, static_cast<double>(r.all.asked)), peak,
-               broken.empty() ? "kept" : broken, r.valid ? "" : " (invalid run)")
+               1000 * cpu / std::max<double>(1, static_cast<double>(r.all.asked)), peak, broken,
+               r.valid ? "" : " (invalid run)")
         << std::flush;
   }
   return good ? 0 : 1;
@@ -396,6 +463,16 @@
       ->check(CLI::Range(1, 64));
   fleet->add_option("--trace", o.trace, "write the traces with peers to files that begin so");
   fleet->add_flag("--quiet", o.quiet, "no progress");
+  auto* const halls =
+      add("halls", "a file with [zones], in turns without and with it: failover between halls", RunHalls);
+  with_file(halls);
+  halls->add_option("--seeds", o.pairs, "how many")->check(CLI::Range(1, 1000));
+  halls->add_flag("--quiet", o.quiet, "no progress");
+  auto* const duty = add("duty", "a file with peers.share_list: how a duty is handed on", RunDuty);
+  with_file(duty);
+  duty->add_option("--seeds", o.pairs, "how many")->check(CLI::Range(1, 1000));
+  duty->add_option("--gateways", o.gateways, "in place of the file's number")->check(CLI::Range(1, 64));
+  duty->add_flag("--quiet", o.quiet, "no progress");
   auto* const subsets =
       add("subsets", "subsets in the model, to 1,000 gateways and 10,000 hosts", RunSubsets);
   subsets->add_option("--seed", o.from_seed, "of the hosts");
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "meadowyard/policy.hpp"
@@ -43,12 +44,23 @@
   bool in_touch = false, holds = false;
 };
 
-// A gateway has acted for a duty: passed on the list of hosts, or said that it stands.
+// A gateway has acted for a duty: passed on the list of hosts, or said that it stands; offered how the halls
+// stand, or said what was agreed.
 struct DutyAct {
   Millis at = 0;
   std::int32_t gateway = 0, to = 0;
   std::uint64_t token = 0;
   std::int64_t revision = 0;
+  std::int32_t duty = 0;  // 0: the list, 1: the halls
+};
+
+// A word about how the halls stand, on its way from one gateway to another.
+struct HallsWord {
+  enum class Kind { kOffer, kAgreed, kKnown, kVote } kind = Kind::kOffer;
+  Millis left = 0, arrived = 0;  // one of both is 0: each is a record of its own
+  std::int32_t from = 0, to = 0;
+  std::uint64_t term = 0, version = 0;
+  std::vector<std::pair<std::string, double>> health;  // by hall; none in a vote
 };
 
 struct HostUse {
@@ -58,12 +70,15 @@
 
 struct FleetLedger {
   std::vector<std::string> hosts;  // their ids
+  std::vector<std::string> halls;  // and where they stand, in the same order
   std::vector<HostUse> uses;       // the same order
   std::vector<Execution> executions;
   std::vector<Told> told;
   std::vector<HostEvent> events;
   std::vector<DutyAct> acts;  // as they left their gateways
+  std::vector<HallsWord> words;
   std::uint64_t connections = 0, most_connections = 0, probes = 0, bad_requests = 0, discovery_calls = 0;
+  std::uint64_t peer_words = 0;  // datagrams from gateway to gateway, as they left
 };
 
 // A client's try, from when it was due.
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 #include "duties/lease.hpp"
@@ -17,6 +18,9 @@
 constexpr std::size_t kExamples = 3;
 constexpr std::size_t kStreamed = 64 * 1024;  // longer answers go to the client before they are whole
 constexpr Millis kAfterKill = 100;            // ends that a kill explains
+constexpr Millis kChange = 2000;              // for what was sent by the state before to come to its host
+constexpr double kRetryShare = 0.1;           // further tries that a gateway has for each first one
+constexpr double kRetryBurst = 20;            // and may have saved up
 
 class Court {
  public:
@@ -30,7 +34,9 @@
     for (const Try& t : e_.tries) JudgeTry(t);
     for (auto& [id, runs] : runs_) JudgeRuns(id, runs);
     JudgeDrains();
-    JudgeDuties();
+    for (const int duty : {0, 1}) JudgeDuty(duty);
+    JudgeAgreements();
+    JudgeHalls();
     for (const HostEvent& event : e_.ledger.events) {
       if (event.what == "fell")
         Found(Rule::kColdHosts, event.at, "host " + HostName(event.host) + " fell over");
@@ -121,10 +127,11 @@
 
   // Each act carries a token. Once a gateway has acted with a higher one, no other acts with a lower, and
   // none has another's.
-  void JudgeDuties() {
+  void JudgeDuty(int duty) {
     Token highest = 0;
     int holder = -1;
     for (const DutyAct& act : e_.ledger.acts) {
+      if (act.duty != duty) continue;
       if (act.gateway != holder && holder >= 0 && act.token <= highest) {
         Found(Rule::kOneHolder, act.at,
               fmt::format("gateway {} acted with {:x} after gateway {} had with {:x}", act.gateway, act.token,
@@ -134,6 +141,76 @@
     }
   }
 
+  // Whoever says that something was agreed says so after more than half had voted for it, or itself had heard
+  // so; and what was agreed under one number is one thing.
+  void JudgeAgreements() {
+    using Kind = HallsWord::Kind;
+    using Id = std::pair<std::uint64_t, std::uint64_t>;
+    std::map<Id, std::set<int>> votes;  // that have come to whoever had asked for them; and itself
+    std::map<Id, std::vector<std::pair<std::string, double>>> states;
+    for (const HallsWord& w : e_.ledger.words) {
+      const Id id{w.term, w.version};
+      if (w.kind == Kind::kVote && w.arrived > 0) votes[id].insert(w.from), votes[id].insert(w.to);
+      if (w.kind == Kind::kVote || w.left <= 0) continue;
+      const auto [known, added] = states.emplace(id, w.health);
+      if (!added && known->second != w.health)
+        Found(Rule::kAgreedHalls, w.left, fmt::format("two states under {:x}.{}", w.term, w.version));
+      if (w.kind == Kind::kOffer) continue;
+      const std::size_t for_it = std::max<std::size_t>(1, votes[id].size());
+      if (2 * for_it <= static_cast<std::size_t>(e_.experiment.gateways.count)) {
+        Found(Rule::kAgreedHalls, w.left,
+              fmt::format("gateway {} takes {:x}.{} for agreed with {} for it", w.from, w.term, w.version,
+                          for_it));
+      }
+    }
+  }
+
+  // While all that a gateway has been told keeps its requests in its own hall it sends others but further
+  // tries, which its budget bounds.
+  void JudgeHalls() {
+    const ZonesSpec& zones = e_.experiment.zones;
+    if (!zones.on) return;
+    const int gateways = e_.experiment.gateways.count;
+    std::vector<std::vector<std::pair<Millis, bool>>> home(static_cast<std::size_t>(gateways));
+    for (const HallsWord& w : e_.ledger.words) {
+      if (w.kind == HallsWord::Kind::kOffer || w.kind == HallsWord::Kind::kVote) continue;
+      const int g = w.arrived > 0 ? w.to : w.from;  // who says it has it, too
+      double fit = 0;
+      for (const auto& [hall, health] : w.health) {
+        if (hall == HallOf(g)) fit = health;
+      }
+      home[static_cast<std::size_t>(g)].push_back({std::max(w.left, w.arrived), zones.spare * fit >= 1});
+    }
+    std::vector<double> crossed(home.size(), 0), tries(home.size(), 0);
+    for (const Try& t : e_.tries) ++tries[static_cast<std::size_t>(t.gateway)];
+    for (const Execution& x : e_.ledger.executions) {
+      const auto t = tries_.find(x.id);
+      if (t == tries_.end()) continue;
+      const int gateway = t->second->gateway;
+      const auto g = static_cast<std::size_t>(gateway);
+      if (e_.ledger.halls[static_cast<std::size_t>(x.host)] == HallOf(gateway)) continue;
+      bool any = false, away = false;  // told anything yet; told a moment ago that its hall is not whole
+      for (std::size_t i = 0; i < home[g].size() && home[g][i].first <= x.first; ++i) {
+        const bool in_force = i + 1 == home[g].size() || home[g][i + 1].first > x.first - kChange;
+        any = true;
+        away = away || (in_force && !home[g][i].second);
+      }
+      crossed[g] += any && !away;
+    }
+    for (std::size_t g = 0; g < home.size(); ++g) {
+      if (crossed[g] > kRetryBurst + kRetryShare * tries[g]) {
+        Found(
+            Rule::kAgreedHalls, 0,
+            fmt::format("gateway {} sent {:.0f} of {:.0f} to other halls, though its own was held for whole",
+                        g, crossed[g], tries[g]));
+      }
+    }
+  }
+  const std::string& HallOf(int gateway) const {
+    const auto& halls = e_.experiment.fleet.halls;
+    return halls[static_cast<std::size_t>(gateway) % halls.size()];
+  }
+
   void JudgeDrains() {
     std::map<std::pair<int, int>, std::vector<const Told*>> told;  // by gateway and host, in time
     for (const Told& t : e_.ledger.told) told[{t.gateway, t.host}].push_back(&t);
@@ -164,8 +241,8 @@
 }  // namespace
 
 const char* Name(Rule rule) {
-  constexpr const char* kNames[] = {"one answer", "true answer", "no repeat",      "drains",
-                                    "cold hosts", "prompt",      "known requests", "one holder"};
+  constexpr const char* kNames[] = {"one answer", "true answer",    "no repeat",  "drains",      "cold hosts",
+                                    "prompt",     "known requests", "one holder", "agreed halls"};
   return kNames[static_cast<int>(rule)];
 }
 
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -34,9 +34,10 @@
   kColdHosts,      // no cold host is pushed over
   kPrompt,         // what is given up unsent is answered within half of its time
   kKnownRequests,  // hosts see no request that no client sent
-  kOneHolder       // a duty is done by one gateway at a time, and later by a higher token
+  kOneHolder,      // a duty is done by one gateway at a time, and later by a higher token
+  kAgreedHalls     // who sends elsewhere than to its own hall does so by what more than half have agreed
 };
-constexpr int kRules = 8;
+constexpr int kRules = 9;
 const char* Name(Rule rule);
 
 struct Finding {
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -10,6 +10,7 @@
 #include <queue>
 
 #include "lab/fleet_figures.hpp"
+#include "lab/hall_figures.hpp"
 
 namespace meadowyard::lab {
 namespace {
@@ -249,6 +250,8 @@
   r.seen = run.seen;
   for (PeersSeen& s : r.seen) s.at -= run.start;
   const FleetFigures fleet = FiguresOf(run);
+  if (e.fleet.halls.size() > 1 && !run.ledger.hosts.empty())
+    r.halls = std::make_shared<HallFigures>(HallsOf(run));
   r.cold = fleet.cold, r.acts = fleet.acts, r.gaps = fleet.gaps;
   if (!run.ledger.hosts.empty()) r.findings = Judge({e, run.arrivals, run.tries, run.ledger, run.outages});
   return r;
@@ -281,6 +284,20 @@
     text += fmt::format("{}: {:.2f} s of CPU, at most {:.1f} MB, {} descriptors\n", g.name,
                         g.usage.cpu_ms / 1000, g.usage.peak_kb / 1024, g.usage.descriptors);
   }
+  if (r.halls) {
+    const HallFigures& h = *r.halls;
+    text += fmt::format("in their own halls: {:.1f}% of attempts, {:.1f}% before the first trouble;",
+                        100 * h.kept, 100 * h.kept_before);
+    for (const auto& [hall, load] : h.most_load)
+      text += fmt::format(" {} at most {:.2f} times its load before;", hall, load);
+    text += "\n";
+    if (!h.changes.empty()) {
+      text += fmt::format(
+          "halls: {} agreements, {} falls, {} of them flaps; first fall agreed after {:.0f} ms, known "
+          "to all after {:.0f} ms; longest disagreement {:.0f} ms\n",
+          h.changes.size(), h.falls, h.flaps, h.first_fall, h.moved, h.disagreed);
+    }
+  }
   text += "rules:";
   for (const Finding& f : r.findings) {
     text += f.count == 0 ? fmt::format(" {} kept;", Name(f.rule))
@@ -329,6 +346,26 @@
   }
   if (!r.seen.empty()) j["cold_budget_used"] = r.cold;
   if (r.acts > 0) j["duty"] = {{"acts", r.acts}, {"gaps_ms", r.gaps}};
+  if (r.halls) {
+    const HallFigures& h = *r.halls;
+    j["halls"] = {{"kept", h.kept},
+                  {"kept_before", h.kept_before},
+                  {"most_load", h.most_load},
+                  {"falls", h.falls},
+                  {"flaps", h.flaps},
+                  {"first_fall_ms", h.first_fall},
+                  {"moved_ms", h.moved},
+                  {"disagreed_ms", h.disagreed},
+                  {"changes", nlohmann::json::array()}};
+    for (const HallChange& c : h.changes) {
+      j["halls"]["changes"].push_back(
+          {{"at_s", c.at / 1000},
+           {"term", c.term},
+           {"version", c.version},
+           {"health", nlohmann::ordered_json(std::map(c.health.begin(), c.health.end()))},
+           {"reached_ms", c.reached}});
+    }
+  }
   for (const PeersSeen& s : r.seen) {
     j["peers_seen"].push_back({{"at_s", s.at / 1000},
                                {"gateway", s.gateway},
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -2,6 +2,7 @@
 #ifndef MEADOWYARD_LAB_REPORT_HPP_
 #define MEADOWYARD_LAB_REPORT_HPP_
 
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
@@ -14,6 +15,8 @@
 
 namespace meadowyard::lab {
 
+struct HallFigures;
+
 struct Quantiles {
   std::size_t count = 0;
   double mean = 0, p50 = 0, p90 = 0, p99 = 0, p999 = 0, most = 0;
@@ -73,6 +76,7 @@
   double cold = 0;              // see HostUse, of the worst host
   std::size_t acts = 0;         // for a duty, and the times from one holder to the next
   std::vector<double> gaps;
+  std::shared_ptr<const HallFigures> halls;  // where there are several
   std::uint64_t connections = 0, discovery_calls = 0, probes = 0;
   std::vector<Finding> findings;
   std::vector<std::string> remarks;
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -274,7 +274,8 @@
   t.side.assign(side.begin(), side.end());
   if (t.side.empty() && t.gateway >= 0) t.side = {t.gateway};
   s.Flag("holder", t.holder);
-  if (t.holder && !e.peers.share_list) s.Fail(s.Find("holder"), "holder", "peers.share_list is off");
+  if (t.holder && !e.peers.share_list && !e.zones.on)
+    s.Fail(s.Find("holder"), "holder", "nobody has a duty: peers.share_list is off, and there is no [zones]");
   using W = Trouble::Way;
   s.Choice<W>("way", t.way, {{"both", W::kBoth}, {"to", W::kTo}, {"from", W::kFrom}});
   const bool host_cut = t.kind == Trouble::Kind::kHostCut, peer_cut = t.kind == Trouble::Kind::kPeerCut;
@@ -377,6 +378,15 @@
   // There each gateway is told other addresses or times, which one could not pass on to another.
   if (e.peers.share_list && (e.host_link.on || !e.gateways.clocks.empty()))
     s.Fail(s.Find("peers"), "peers.share_list", "does not go with [host_link] or gateways.clock_ms");
+  s.Table("zones", [&](Section& t) {
+    e.zones.on = true;
+    if (!e.peers.on) t.Fail(nullptr, "", "there is no [peers]");
+    t.Number("spare", e.zones.spare, 1, 100);
+    t.Number("panic", e.zones.panic, 0, 1);
+    t.Number("most_extra", e.zones.most_extra, 0, 100);
+    t.Number("hold_ms", e.zones.hold, 100, 300000);
+    t.Tables("region", [&](Section& r) { r.Texts("halls", e.zones.regions.emplace_back()); });
+  });
   s.Table("load", [&](Section& t) { ReadLoad(t, e); });
   s.Tables("trouble", [&](Section& t) { ReadTrouble(t, e); });
   s.Done();
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -125,6 +125,14 @@
   Millis lease = 1000;
 };
 
+// Whether requests go by halls, as the gateways agree.
+struct ZonesSpec {
+  bool on = false;
+  double spare = 1.4, panic = 0.3, most_extra = 1;
+  Millis hold = 5000;
+  std::vector<std::vector<std::string>> regions;
+};
+
 struct GatewaySpec {
   int count = 1;
   double memory_mb = 192;
@@ -181,6 +189,7 @@
   LinkSpec link;       // between clients and gateways
   LinkSpec host_link;  // between gateways and hosts
   PeersSpec peers;
+  ZonesSpec zones;
   LoadSpec load;
   std::vector<Trouble> troubles;
   Millis window = 10000;  // of the worst one in the report
--- a/src/peers/beat.cpp
+++ b/src/peers/beat.cpp
@@ -1,7 +1,9 @@
 #include "peers/beat.hpp"
 
-#include <cmath>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "duties/words.hpp"
 
 namespace meadowyard {
 namespace {
@@ -11,7 +13,7 @@
 constexpr int kVersion = 1;
 constexpr std::size_t kMostNames = 256;
 constexpr std::size_t kMostText = 128;
-constexpr Millis kMostAge = 1e9;
+constexpr double kMostAge = 1e9;  // and any other amount
 
 std::string Text(const json& value) {
   const auto& text = value.get_ref<const std::string&>();
@@ -26,6 +28,25 @@
   return all;
 }
 
+double Amount(const json& value) {
+  const double read = value.get<double>();
+  if (!(read >= 0 && read <= kMostAge)) throw std::invalid_argument("number");
+  return read;
+}
+
+Sights ReadSights(const json& all) {
+  Sights sights{all.at("zone").get<std::string>(), Amount(all.at("arriving")), {}};
+  const json& zones = all.at("zones");
+  if (sights.zone.size() > kMostText || !zones.is_array() || zones.size() > kMostZones)
+    throw std::invalid_argument("zones");
+  for (const json& z : zones) {
+    const auto& name = z.at(0).get_ref<const std::string&>();
+    if (name.size() > kMostText) throw std::invalid_argument("zone");
+    sights.zones.push_back({name, Amount(z.at(1)), Amount(z.at(2)), Amount(z.at(3)), Amount(z.at(4))});
+  }
+  return sights;
+}
+
 std::uint64_t Whole(const json& value) {
   if (!value.is_number_unsigned()) throw std::invalid_argument("number");
   return value.get<std::uint64_t>();
@@ -37,15 +58,17 @@
   json started = json::array(), hears = json::array();
   for (const Beat::Echo& e : beat.hears) hears.push_back({e.name, e.life, e.number});
   for (const Beat::Start& s : beat.started) started.push_back({s.server, s.age});
-  return json::to_cbor({{"v", kVersion},
-                        {"from", beat.from},
-                        {"life", beat.life},
-                        {"n", beat.number},
-                        {"list", beat.list},
-                        {"listed", static_cast<std::uint64_t>(beat.listed)},
-                        {"hears", hears},
-                        {"started", started},
-                        {"recovered", beat.recovered}});
+  json all = {{"v", kVersion},    {"from", beat.from},  {"life", beat.life},
+              {"n", beat.number}, {"list", beat.list},  {"listed", static_cast<std::uint64_t>(beat.listed)},
+              {"hears", hears},   {"started", started}, {"recovered", beat.recovered}};
+  if (beat.sights) {
+    json zones = json::array();
+    for (const ZoneSight& z : beat.sights->zones) {
+      if (zones.size() < kMostZones) zones.push_back({z.zone, z.size, z.fit, z.ended, z.good});
+    }
+    all["zone"] = beat.sights->zone, all["arriving"] = beat.sights->arriving, all["zones"] = zones;
+  }
+  return json::to_cbor(all);
 }
 
 std::optional<Beat> ParseBeat(const std::uint8_t* bytes, std::size_t size) {
@@ -70,10 +93,9 @@
     const json& started = all.at("started");
     if (!started.is_array() || started.size() > kMostNames) return std::nullopt;
     for (const json& item : started) {
-      const double age = item.at(1).get<double>();
-      if (!(age >= 0 && age <= kMostAge)) return std::nullopt;
-      beat.started.push_back({Text(item.at(0)), age});
+      beat.started.push_back({Text(item.at(0)), Amount(item.at(1))});
     }
+    if (all.contains("zone")) beat.sights = ReadSights(all);
     return beat;
   } catch (const std::exception&) {  // a field is missing or of another kind
     return std::nullopt;
--- a/src/peers/peer_link.cpp
+++ b/src/peers/peer_link.cpp
@@ -75,12 +75,13 @@
     return;
   }
   if (duty) {
-    if (handlers_.duty) handlers_.duty(static_cast<int>(peer - config_.all.begin()), duty->word);
+    handlers_.duty(static_cast<int>(peer - config_.all.begin()), duty->duty, duty->word);
     return;
   }
   const Millis now = Now();
   if (!view_.Hear(now, *beat)) return;
   ++heard_;
+  if (beat->sights) handlers_.seen(static_cast<int>(peer - config_.all.begin()), *beat->sights);
   if (beat->started.empty() && beat->recovered.empty()) return;  // the rest can wait for the next beat
   Gossip gossip;
   for (const Beat::Start& s : beat->started) gossip.started.push_back({s.server, now - s.age});
@@ -88,10 +89,10 @@
   Tell(std::move(gossip));
 }
 
-void PeerLink::Send(int to, const DutyWord& word) {
+void PeerLink::Send(int to, Duty duty, const DutyWord& word) {
   if (!socket_.is_open()) return;
   error_code ignored;
-  socket_.send_to(asio::buffer(ToBytes(config_.all[config_.self].name, word)),
+  socket_.send_to(asio::buffer(ToBytes(config_.all[config_.self].name, duty, word)),
                   config_.all[static_cast<std::size_t>(to)].address, 0, ignored);
   ++sent_;
 }
@@ -108,6 +109,7 @@
   const Gossip gossip = handlers_.gossip();
   for (const Gossip::Start& s : gossip.started) beat.started.push_back({s.server, std::max(0.0, now - s.at)});
   beat.recovered = gossip.recovered;
+  beat.sights = handlers_.sights();
   const auto bytes = ToBytes(beat);
   for (std::size_t i = 0; socket_.is_open() && i < config_.all.size(); ++i) {
     if (i == config_.self) continue;
@@ -116,7 +118,7 @@
     ++sent_;
   }
   Tell({});
-  if (handlers_.beat) handlers_.beat(static_cast<double>(random_() >> 11) / 9007199254740992.0);
+  handlers_.beat(static_cast<double>(random_() >> 11) / 9007199254740992.0);
   timer_.expires_after(Span(config_.beat));
   timer_.async_wait([this](error_code ec) {
     if (!ec) Beats();
--- a/src/peers/peers_config.cpp
+++ b/src/peers/peers_config.cpp
@@ -62,6 +62,25 @@
   config.lease = peers->Number("lease_ms", config.lease, 100, 600000);
   if (config.lease < 4 * config.beat) peers->Fail("lease_ms", "must be four beats at the least");
   peers->Finish();
+  if (auto zones = in.Table("zones")) {
+    Locality& l = config.locality;
+    l.on = true;
+    l.spare = zones->Number("spare", l.spare, 1, 100);
+    l.panic = zones->Number("panic", l.panic, 0, 1);
+    l.most_extra = zones->Number("most_extra", l.most_extra, 0, 100);
+    config.zones.hold = zones->Number("hold_ms", config.zones.hold, 100, 300000);
+    config.zones.fresh = config.silent;
+    zones->Finish();
+  }
+  int region = 0;
+  in.Tables("region", [&](TableReader& each) {
+    if (!config.locality.on) each.Fail("zones", "there is no [zones]");
+    for (const std::string& zone : each.Texts("zones")) {
+      if (!config.locality.regions.emplace(zone, region).second)
+        each.Fail("zones", "'" + zone + "' is in two regions");
+    }
+    ++region;
+  });
   in.Finish();
   return config;
 }
--- a/src/peers/peers_config.hpp
+++ b/src/peers/peers_config.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "duties/zone_judge.hpp"
 #include "meadowyard/policy.hpp"
 
 namespace meadowyard {
@@ -29,6 +30,8 @@
   Millis gone = 3000;       // and counts as away by then, and its places go to others
   bool share_list = false;  // one gateway at a time reads the list of hosts for all
   Millis lease = 3000;      // that it has the duty for, until it asks again
+  Locality locality;        // requests go by zones, as the gateways agree
+  ZoneJudge::Times zones;   // when they do
 };
 
 // Throws EdgeError (file, line and field). `name` is this gateway's, unless the file says so; without one the
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -302,7 +302,7 @@
     while (!letters.empty()) {
       const auto [from, to, word] = letters.front();
       letters.erase(letters.begin());
-      const auto bytes = ToBytes("g", word);  // as it crosses
+      const auto bytes = ToBytes("g", Duty::kList, word);  // as it crosses
       const auto read = ParseDutyWord(bytes.data(), bytes.size());
       ASSERT_TRUE(read);
       if (!lost(from, to)) duties[static_cast<std::size_t>(to)]->Hear(now, from, read->word);
@@ -399,11 +399,13 @@
 TEST(DutyWords, AreWholeOrNone) {
   const ListPart part{300, 7, 6, false, 0, 1, Hosts(7, 0, 3).hosts};
   for (const DutyWord& word :
-       {DutyWord(part), DutyWord(ListWanted{9}), DutyWord(Lease::Word{Lease::Word::Kind::kNo, 5, 8, -1})}) {
-    const auto bytes = ToBytes("g1", word);
+       {DutyWord(part), DutyWord(ListWanted{9}), DutyWord(Lease::Word{Lease::Word::Kind::kNo, 5, 8, -1}),
+        DutyWord(ZonesWord{ZonesWord::Kind::kAgreed, 9, {7, 3, {{"a", 0.5, 4, 100}, {"b", 1, 4, 90}}}}),
+        DutyWord(ZonesVote{9, 3})}) {
+    const auto bytes = ToBytes("g1", Duty::kZones, word);
     const auto read = ParseDutyWord(bytes.data(), bytes.size());
     ASSERT_TRUE(read);
-    EXPECT_EQ(ToBytes("g1", read->word), bytes);
+    EXPECT_EQ(ToBytes("g1", read->duty, read->word), bytes);
     std::mt19937 random(1);
     for (int i = 0; i < 10000; ++i) {
       auto broken = bytes;
