Hold a zone for no fitter than what it serves of what comes to it; measure halls and duties

The agreed health of that hall stayed at 1 until 10 s after the trouble.

Cause: health was the share of good answers among attempts (src/duties/zone_judge.cpp, Look). A gateway's learned rate and limits send a slow hall no more than it can do, so its attempts go well; what does not go out is refused from the queue, which counted nowhere. Ruled out: the hosts' trust (none was suspect), the agreement (392 ms on the same rig where a hall dies).

Where no zone has room, what a half fit zone can't serve stays there, and its own limits decide.

--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -246,7 +246,7 @@
   std::string zone;
   double size = 0;   // weight of the servers that may be used
   double fit = 0;    // of these: trusted, and warm
-  double ended = 0;  // attempts there that ended lately, fading over some 2 s
+  double ended = 0;  // attempts there that ended lately, and requests that found no server there in time
   double good = 0;   // of these: answered within their class's aim
 };
 struct Sights {
--- a/src/decision/locality.hpp
+++ b/src/decision/locality.hpp
@@ -1,5 +1,4 @@
-// Near first: a request goes to its gateway's own zone as far as that is fit, then to its region, then
-// further. Gateways agree on how fit zones are (ZonesAgreed), so all that can talk move together.
+// Near first, and further only as the gateways have agreed (ZonesAgreed), so all that can talk move together.
 #ifndef MEADOWYARD_DECISION_LOCALITY_HPP_
 #define MEADOWYARD_DECISION_LOCALITY_HPP_
 
@@ -35,8 +34,8 @@
   }
 
   // How much of this gateway's requests each zone gets. All reckon alike, each for its own zone: what that
-  // can't serve goes first where there is room in its region, then wherever there is any; and what finds none
-  // is refused, for it would push over those that are left.
+  // can't serve goes first where there is room in its region, then wherever there is any. What finds none
+  // stays; where the own zone has failed it is refused, for it would push over those that are left.
   void Spread() {
     parts_.clear();
     beyond_ = 0;
@@ -84,6 +83,7 @@
       const auto [spill, room] = sums[near ? mine : 0];
       if (spill > 0) rest *= 1 - std::min(spill, room) / spill;
     }
+    if (parts_.front().second > 0) parts_.front().second += std::exchange(rest, 0);
     beyond_ = rest;
   }
 
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -195,9 +195,7 @@
     const Tier& c = classes_[flow.cls];
     const Millis enough = std::min(kEnough * c.latency, c.set.aim / 2);
     if (o.result == Result::kTimedOut && flow.attempts[o.attempt].timeout < enough) return;
-    const bool good = o.result == Result::kServed && o.latency <= c.set.aim;
-    const bool told = set_.locality.on && o.result != Result::kRejected;  // full is not ill
-    if (told) zones_[b.info.zone].Add(now_, good);
+    Sighted(b.info.zone, o.result == Result::kServed && o.latency <= c.set.aim);
     MoveRate(b, flow, o);  // first: by whether the server was held ready until now
     Hear(b, o.load);
     Judge(b, flow, o);
@@ -302,6 +300,8 @@
     }
     LearnReference(std::min(kLongMemory, now_ - std::exchange(swept_at_, now_)));
     for (Flow* flow : Expired()) {
+      const std::string* const zone = ZoneFor(*flow);
+      if (zone != nullptr && flow->in_share) Sighted(*zone, false);  // it could not take it in time
       Unqueue(*flow);
       Answer(*flow);
     }
--- a/src/decision/state.hpp
+++ b/src/decision/state.hpp
@@ -22,7 +22,7 @@
 namespace meadowyard {
 
 constexpr Millis kNever = -1e15;
-constexpr Millis kSightMemory = 2000;  // over which what is seen of a zone fades
+constexpr Millis kSightMemory = 1000;  // over which what is seen of a zone fades
 
 // Throws std::invalid_argument naming the field that can't work. Returns the classes' summed worth.
 double Validate(const Settings& settings);
@@ -148,7 +148,7 @@
   double within = 1;  // part of its first tries that was within its share, smoothed
 };
 
-// Attempts that ended at a zone's servers, fading.
+// Attempts that ended at a zone's servers and requests that found none there in time, fading.
 struct ZoneCounts {
   double ended = 0, good = 0;
   Millis at = 0;
@@ -246,6 +246,10 @@
     return census;
   }
 
+  void Sighted(const std::string& zone, bool good) {
+    if (set_.locality.on) zones_[zone].Add(now_, good);
+  }
+
   Flow* Find(const std::string& id) {
     const auto found = flows_.find(id);
     return found == flows_.end() ? nullptr : &found->second;
--- a/src/lab/fleet_figures.hpp
+++ b/src/lab/fleet_figures.hpp
@@ -21,7 +21,8 @@
   std::size_t pairs = 0;       // of gateway and host, that were used
   double pairs_a_gateway = 0;  // on average
   // Where the script kills a gateway for good: pairs of the others that are new after it, over all after.
-  // Of a duty: acts, holders that followed another, and the longest time without an act after the first.
+  // Of a duty, reading the list where that is shared, else the halls: acts, holders that followed another,
+  // and the longest time without an act after the first.
   std::size_t acts = 0, hand_overs = 0;
   std::vector<double> gaps;  // ms, from the last act of one holder to the first of the next
   bool lost_one = false;
--- a/src/lab/records.hpp
+++ b/src/lab/records.hpp
@@ -42,6 +42,7 @@
   int gateway = 0, listed = 0, present = 0, place = 0;
   int shared_among = 0, hosts_used = 0;
   bool in_touch = false, holds = false;
+  std::int64_t revision = -1;  // of the list that it has, where that is shared
 };
 
 // A gateway has acted for a duty: passed on the list of hosts, or said that it stands; offered how the halls
--- a/src/peers/peers_config.cpp
+++ b/src/peers/peers_config.cpp
@@ -70,6 +70,7 @@
     l.most_extra = zones->Number("most_extra", l.most_extra, 0, 100);
     config.zones.hold = zones->Number("hold_ms", config.zones.hold, 100, 300000);
     config.zones.fresh = config.silent;
+    config.zones.spare = l.spare;
     zones->Finish();
   }
   int region = 0;
