Play the cold budget over all gateways in the model, to 1,000 gateways and 10,000 hosts

Need: the cold budget was known for up to 16 gateway processes and, in a unit test, 32 modules. `meadowyard-lab subsets` now plays the real modules of all gateways that use one host (the one that most use), with their subsets, while it restarts cold and a burst of twice the requests comes.

--- a/src/lab/fleet_figures.cpp
+++ b/src/lab/fleet_figures.cpp
@@ -5,10 +5,13 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <queue>
 #include <stdexcept>
 #include <unordered_map>
 
+#include "decision/state.hpp"
 #include "decision/subset.hpp"
+#include "lab/host_model.hpp"
 #include "lab/random.hpp"
 #include "lab/stream.hpp"
 
@@ -198,6 +201,98 @@
   if (!out.flush()) throw std::runtime_error("can't write " + path);
 }
 
+ColdFigures ModelCold(std::size_t gateways, std::size_t hosts, std::size_t size, std::uint64_t seed) {
+  constexpr Millis kWork = 20, kWarm = 5000, kEnd = 12000, kBurstFrom = 8000, kBurstTo = 9000;
+  const Millis began = Clock();
+  size = std::max(size, (2 * hosts + gateways - 1) / gateways);  // as the module does: two gateways a host
+  Random random(seed, "cold");
+  ServerNews news;
+  std::vector<Subsets::Item> items;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    Server server;
+    server.id = "h" + std::to_string(i);
+    items.push_back({0, Hash(server.id)});
+    news.servers.push_back(server);
+  }
+  const Choice choice = Choose(items, gateways, size);
+  const auto loads = Loads(choice, hosts);
+  const auto cold = static_cast<std::size_t>(std::max_element(loads.begin(), loads.end()) - loads.begin());
+
+  Settings settings;
+  ClassSettings c;
+  c.name = "view", c.aim = 600, c.deadline = 1500, c.effect = Effect::kSafe;
+  settings.classes = {c};
+  settings.gateways = static_cast<int>(gateways), settings.subset = static_cast<int>(size);
+  settings.cold_from = 0.13, settings.cold_for = 15000, settings.fall_multiple = 2.5;
+  KindSpec kind;
+  kind.cores = 2, kind.cold_from = settings.cold_from, kind.cold_for = settings.cold_for;
+  kind.fall_multiple = settings.fall_multiple;
+  HostModel host(kind);
+  const double rate = 0.5 * kind.cores / kWork * static_cast<double>(hosts) / static_cast<double>(gateways);
+
+  struct Due {
+    Millis at;
+    std::size_t user;
+    Event event;
+    bool operator<(const Due& other) const { return at > other.at; }
+  };
+  std::priority_queue<Due> due;
+  std::vector<Policy> users;
+  const auto act = [&](Millis now, std::size_t user, const Event& event) {
+    std::vector<Action> actions;
+    users[user].handle(now, event, actions);
+    for (const Action& action : actions) {
+      if (const auto* const timer = std::get_if<SetTimer>(&action))
+        due.push({now + timer->delay, user, TimerDue{timer->name}});
+      const auto* const send = std::get_if<Send>(&action);
+      if (send == nullptr) continue;
+      const Millis work = random.Exponential(kWork);
+      if (send->server == news.servers[cold].id) host.Offer(now, 1, work, 0);
+      Outcome outcome;
+      outcome.request = send->request, outcome.server = send->server, outcome.latency = work;
+      due.push({now + work, user, outcome});
+    }
+  };
+  std::vector<std::size_t> places;
+  for (std::size_t place = 0; place < gateways; ++place) {
+    if (std::binary_search(choice[place].begin(), choice[place].end(), cold)) places.push_back(place);
+  }
+  for (const std::size_t place : places) {
+    settings.index = static_cast<int>(place);
+    users.emplace_back(settings, seed + place);
+    const std::size_t user = users.size() - 1;
+    act(0, user, news);
+    act(0, user, PeerNews{settings.gateways, settings.gateways, settings.index, 1e12, {}});
+    due.push({random.Exponential(1 / rate), user, Request()});
+  }
+  ColdFigures f;
+  f.users = users.size();
+  bool restarted = false;
+  while (!due.empty() && due.top().at < kEnd) {
+    Due next = due.top();
+    due.pop();
+    std::vector<HostModel::Done> done;
+    host.Advance(next.at, done);
+    if (!restarted && next.at >= kWarm) {
+      restarted = true;
+      host.Start(next.at, true);
+      ServerNews start{ServerNews::Kind::kDelta, {news.servers[cold]}};
+      start.servers[0].started_at = next.at;
+      for (std::size_t user = 0; user < users.size(); ++user) act(next.at, user, start);
+    }
+    if (auto* const request = std::get_if<Request>(&next.event)) {
+      const bool burst = next.at >= kBurstFrom && next.at < kBurstTo;
+      due.push({next.at + random.Exponential(1 / (burst ? 2 * rate : rate)), next.user, Request()});
+      request->id = std::to_string(f.requests++), request->class_name = "view",
+      request->time_left = c.deadline;
+    }
+    act(next.at, next.user, next.event);
+  }
+  f.use = host.cold_use();
+  f.took_ms = Clock() - began;
+  return f;
+}
+
 SubsetFigures ModelSubsets(std::size_t gateways, std::size_t hosts, std::size_t size, std::uint64_t seed) {
   SubsetFigures f;
   f.gateways = gateways, f.hosts = hosts, f.size = std::min(size, hosts);
--- a/src/lab/fleet_figures.hpp
+++ b/src/lab/fleet_figures.hpp
@@ -47,6 +47,17 @@
   double host_left = 0, host_left_least = 0, host_joined = 0, host_joined_least = 0;
   double last_ms = 0;  // that the gateway at the last place takes to choose
 };
+// The cold budget over all gateways, in the model: the real decision modules of those that use one host, with
+// their subsets, at half of what the hosts can do. The host that most use restarts cold, and a burst of twice
+// the requests comes meanwhile. The most work that it is sent, as a share of what fells it.
+struct ColdFigures {
+  std::size_t users = 0;  // gateways that use it
+  double use = 0;
+  std::size_t requests = 0;
+  double took_ms = 0;
+};
+ColdFigures ModelCold(std::size_t gateways, std::size_t hosts, std::size_t size, std::uint64_t seed);
+
 SubsetFigures ModelSubsets(std::size_t gateways, std::size_t hosts, std::size_t size, std::uint64_t seed);
 
 }  // namespace meadowyard::lab
--- a/src/lab/lab_main.cpp
+++ b/src/lab/lab_main.cpp
@@ -246,8 +246,9 @@
 int RunSubsets(const Options& o) {
   std::printf(
       "seed %llu\n| gateways | hosts | subset | gateways a host: least, mean, most | pairs moved (least "
-      "possible): gateway left | gateway joined | host left | host joined | all places chosen in |\n"
-      "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+      "possible): gateway left | gateway joined | host left | host joined | all places chosen in | cold "
+      "host: used by, budget used, model took |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
       static_cast<unsigned long long>(o.from_seed));
   const auto moved = [](double share, double least) {
     return fmt::format("{:.2f}% ({:.2f}%)", 100 * share, 100 * least);
@@ -265,10 +266,14 @@
                                                          {1000, 10000, 20},
                                                          {1000, 10000, 100}}) {
     const lab::SubsetFigures f = lab::ModelSubsets(gateways, hosts, size, o.from_seed);
-    std::cout << fmt::format("| {} | {} | {} | {:.0f}, {:.2f}, {:.0f} | {} | {} | {} | {} | {:.1f} ms |\n",
-                             gateways, hosts, size, f.least, f.mean, f.most, moved(f.left, f.left_least),
-                             moved(f.joined, f.joined_least), moved(f.host_left, f.host_left_least),
-                             moved(f.host_joined, f.host_joined_least), f.last_ms)
+    const lab::ColdFigures cold = lab::ModelCold(gateways, hosts, size, o.from_seed);
+    std::cout << fmt::format(
+                     "| {} | {} | {} | {:.0f}, {:.2f}, {:.0f} | {} | {} | {} | {} | {:.1f} ms | {}, {:.0f}%, "
+                     "{:.1f} s |\n",
+                     gateways, hosts, size, f.least, f.mean, f.most, moved(f.left, f.left_least),
+                     moved(f.joined, f.joined_least), moved(f.host_left, f.host_left_least),
+                     moved(f.host_joined, f.host_joined_least), f.last_ms, cold.users, 100 * cold.use,
+                     cold.took_ms / 1000)
               << std::flush;
   }
   return 0;
