Count on the demand of gateways that can't be heard when room is shared out between zones

Seen on the rig (experiments/halls-cut.toml: two of six gateways cut off from the others, then the hall of those two dies): when they were heard again, the hall nearest to theirs had up to 2.5 times its load before, though two thirds of a failed hall's requests should go to its region and a third further.

Cause: ZoneJudge::Look (src/duties/zone_judge.cpp) summed demand over the gateways heard within the last second. That of the dead hall had been agreed to be 0 while its gateways were out of touch, so all of "nothing" had room nearby, and their real requests followed. Ruled out: the reckoning of shares (its table is right for the demand it was given) and further tries (attempts a request 1.0).

Mended: a gateway's demand counts for a minute after its last word.

--- a/src/duties/zone_judge.cpp
+++ b/src/duties/zone_judge.cpp
@@ -8,16 +8,17 @@
 namespace meadowyard {
 namespace {
 
-constexpr double kStep = 0.1;           // levels are whole multiples of it
-constexpr double kFall = 0.2;           // a level falls by so much at the least, or to nothing
-constexpr double kRise = 0.3;           // and rises by so much at the most
-constexpr double kGood = 0.9;           // share of good answers that leaves nothing to wish for
-constexpr double kFailed = 0.3;         // share of its servers below which a zone counts as failed
-constexpr double kEnough = 3;           // attempts that have to have ended for their share to tell anything
-constexpr Millis kSizeMemory = 600000;  // over which servers that are there no more are forgotten
-constexpr double kDemandMoves = 0.3;    // share by which demand has to differ to be agreed anew
-constexpr Millis kDemandEvery = 5000;   // and the time from one such change to the next
-constexpr double kLittle = 1;           // request a second
+constexpr double kStep = 0.1;            // levels are whole multiples of it
+constexpr double kFall = 0.2;            // a level falls by so much at the least, or to nothing
+constexpr double kRise = 0.3;            // and rises by so much at the most
+constexpr double kGood = 0.9;            // share of good answers that leaves nothing to wish for
+constexpr double kFailed = 0.3;          // share of its servers below which a zone counts as failed
+constexpr double kEnough = 3;            // attempts that have to have ended for their share to tell anything
+constexpr Millis kSizeMemory = 600000;   // over which servers that are there no more are forgotten
+constexpr double kDemandMoves = 0.3;     // share by which demand has to differ to be agreed anew
+constexpr Millis kDemandEvery = 5000;    // and the time from one such change to the next
+constexpr Millis kDemandMemory = 60000;  // that a gateway's counts for after its last word
+constexpr double kLittle = 1;            // request a second
 
 double Rounded(double health) { return std::round(std::clamp(health, 0.0, 1.0) / kStep) * kStep; }
 
@@ -33,8 +34,9 @@
   std::map<std::string, Sum> near, far;  // as those see it that stand there, and all others that go there
   std::map<std::string, Now> all;
   for (const auto& [gateway, seen] : seen_) {
+    // Whoever can't be heard for now still has its clients, who come along when it is heard again.
+    if (now - seen.at < kDemandMemory) all[seen.sights.zone].demand += seen.sights.arriving;
     if (now - seen.at >= times_.fresh) continue;
-    all[seen.sights.zone].demand += seen.sights.arriving;
     for (const ZoneSight& z : seen.sights.zones) {
       Now& zone = all[z.zone];
       zone.size = std::max(zone.size, z.size);
--- a/tests/zone_test.cpp
+++ b/tests/zone_test.cpp
@@ -243,6 +243,22 @@
   }
 }
 
+// A gateway that is cut off keeps its clients: when it comes back they have their part of the room.
+TEST(ZoneJudge, CountsOnTheDemandOfThoseItCantHear) {
+  ZoneJudge judge(3, {});
+  std::vector<Zone> agreed;
+  for (Millis now = 1000; now < 40000; now += 100) {
+    for (int g = now < 3000 ? 0 : 1; g < 3; ++g) {
+      const std::string zone(1, static_cast<char>('a' + g));
+      judge.See(now, g, {zone, 100, {{"a", 4, 4, 0, 0}, {"b", 4, 4, 0, 0}, {"c", 4, 4, 0, 0}}});
+    }
+    if (auto next = judge.Wants(now, agreed)) judge.Agreed(now, agreed, *next), agreed = *next;
+  }
+  ASSERT_EQ(agreed.size(), 3u);
+  EXPECT_EQ(agreed[0].name, "a");
+  EXPECT_EQ(agreed[0].demand, 100);
+}
+
 // ---- Agreeing --------------------------------------------------------------------------------
 
 // Gateways on a network that loses, delays and cuts, with clocks of their own; and a referee of its own.
