Judge no zone by what it served before traffic shifted, whichever zone's health that was for

Cause: the 2 s in which attempts tell of the time before a change counted for the zone that changed alone (Zone::changed_at); the zones that take its requests are the ones that feel it.

Mended: they count from the last change of any zone's health, and a rise waits for them too.

--- a/src/duties/zone_judge.cpp
+++ b/src/duties/zone_judge.cpp
@@ -67,9 +67,9 @@
 
 // What is not served well of what comes to a zone is beyond it. As only a share came, it may be much less
 // than its servers seem good for: slow ones are as many as ever.
-double ZoneJudge::Target(Millis now, const Zone& zone, const Now& seen, double level) const {
+double ZoneJudge::Target(Millis now, const Now& seen, double level) const {
   const double fit = seen.fit < kFailed ? 0 : seen.fit;
-  if (seen.good >= kGood || now - zone.changed_at < times_.settles) return Rounded(fit);
+  if (seen.good >= kGood || now - shifted_at_ < times_.settles) return Rounded(fit);
   return Rounded(std::min(fit, std::min(1.0, times_.spare * level) * seen.good / times_.spare));
 }
 
@@ -81,7 +81,8 @@
   if (low && zone.low_since == 0) zone.low_since = now;
   if (high && zone.high_since == 0) zone.high_since = now;
   if (low && now - zone.low_since >= times_.falls) return target;
-  if (high && now - zone.high_since >= times_.rises && now >= zone.held_until)
+  const bool tried = now - shifted_at_ >= times_.settles;  // what the last step came to is known
+  if (high && tried && now - zone.high_since >= times_.rises && now >= zone.held_until)
     return std::min(target, Rounded(level + kRise));
   return level;
 }
@@ -97,7 +98,7 @@
   for (ZonesAgreed::Zone& z : next) {
     const Now& seen = all[z.name];
     Zone& zone = zones_[z.name];
-    const double level = Next(now, zone, z.health, Target(now, zone, seen, z.health));
+    const double level = Next(now, zone, z.health, Target(now, seen, z.health));
     changed = changed || level != z.health;
     z.health = level, z.size = seen.size;
     moved =
@@ -108,7 +109,7 @@
   for (const auto& [name, seen] : all) {
     if (next.size() >= kMostZones) break;
     changed = true;
-    next.push_back({name, Target(now, zones_[name], seen, 1), seen.size, seen.demand});
+    next.push_back({name, Target(now, seen, 1), seen.size, seen.demand});
   }
   if (!changed && (!moved || now - changed_at_ < kDemandEvery)) return std::nullopt;
   return next;
@@ -123,7 +124,7 @@
     if (old == before.end() || old->health == z.health) continue;
     Zone& zone = zones_[z.name];
     zone.low_since = zone.high_since = 0;
-    zone.changed_at = now;
+    shifted_at_ = now;
     if (z.health > old->health) {
       zone.rose = true;
       continue;
--- a/src/duties/zone_judge.hpp
+++ b/src/duties/zone_judge.hpp
@@ -45,21 +45,20 @@
     Millis low_since = 0, high_since = 0;  // 0: is not
     Millis held_until = 0, hold = 0;
     bool rose = false;  // since its last fall
-    Millis changed_at = 0;
   };
   struct Now {
     double fit = 0, size = 0, demand = 0;
     double good = 1;  // share of what came to it
   };
   std::map<std::string, Now> Look(Millis now);
-  double Target(Millis now, const Zone& zone, const Now& seen, double level) const;
+  double Target(Millis now, const Now& seen, double level) const;
   double Next(Millis now, Zone& zone, double level, double target) const;
 
   const int gateways_;
   const Times times_;
   std::map<int, Seen> seen_;  // by gateway
   std::map<std::string, Zone> zones_;
-  Millis changed_at_ = 0;
+  Millis changed_at_ = 0, shifted_at_ = 0;  // anything that is agreed; some zone's health, and so traffic
 };
 
 }  // namespace meadowyard
