--- a/src/decision/queues.hpp
+++ b/src/decision/queues.hpp
@@ -115,7 +115,7 @@
         const std::string* const zone = ZoneFor(*flow);
         if (plain && full.contains(zone)) continue;
         if (Backend* const b = Pick(*flow)) return {flow, b};
-        if (plain && full.insert(zone).second && full.size() >= parts_.size()) return {};
+        if (plain && (zone == nullptr || full.insert(zone).second) && full.size() >= parts_.size()) return {};
       }
     }
     return {};
