--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -306,6 +306,9 @@
 };
 // Subscribe to changes of the server list; answered by ServerNews. Only in ask mode.
 struct Watch {};
+// The longest time from a ServerNews that says kFailed to the next Watch: a list service that is back must
+// not wait for longer to be asked, or what it has comes too late.
+constexpr Millis kWatchAgain = 1500;
 // A line for the gateway's log.
 struct Log {
   std::string text;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -74,6 +74,7 @@
 
 void Gateway::FailAll() {
   std::vector<std::string> left;
+  ending_ = true;
   for (const auto& [id, flow] : flows_) left.push_back(id);
   for (const std::string& id : left) Overdue(id);
 }
@@ -84,6 +85,11 @@
     answer.kind = meadowyard::Answer::Kind::kInUse;
     return request.answer(std::move(answer));
   }
+  if (ending_) {  // nobody would be here to pass the answer on
+    figures_.Taken();
+    figures_.Ended(request.class_name, Figures::End::kDeferred);
+    return request.answer(Unserved(meadowyard::Answer::Kind::kRefused));
+  }
   Flow& flow = flows_.try_emplace(request.id).first->second;
   flow.call = std::make_shared<const Call>(std::move(request.call));
   flow.answer = std::move(request.answer);
@@ -109,6 +115,7 @@
 void Gateway::Whole(const std::string& id) {
   Flow* const flow = Find(id);
   if (flow == nullptr || flow->answered) return;
+  flow->spent = true;  // its pieces went to a host as they came; the first one alone is still here
   flow->rest.reset();
   flow->leaves_at = clock_.Now() + flow->allowed - kMargin;
   Count(id, *flow);
@@ -173,7 +180,15 @@
 
 void Gateway::Left(const std::string& id) {
   Flow* const flow = Find(id);
-  if (flow != nullptr && !flow->answered) End(*flow, Figures::End::kLeft);  // nothing is owed any more
+  if (flow == nullptr || flow->answered) return Report(ClientGone{id});
+  End(*flow, Figures::End::kLeft);  // nothing is owed any more
+  // What comes up from now on is not written, also where nothing may be cancelled: the first attempt that is
+  // ended may be the last of the flow.
+  std::vector<std::uint64_t> out;
+  for (const Attempt& attempt : flow->attempts) {
+    if (attempt.out) out.push_back(attempt.number);
+  }
+  for (const std::uint64_t number : out) upstream_.Withdraw(number);
   Report(ClientGone{id});
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -45,7 +45,7 @@
   // causes at once waits in the queue.
   void Report(Event event);
   void Configure(const Settings& settings);
-  // Answers all that is open: the process ends.
+  // Answers all that is open, and refuses what comes from now on: the process ends.
   void FailAll();
   // No request is open here.
   bool empty() const { return flows_.empty(); }
@@ -109,6 +109,7 @@
   std::map<std::string, std::unique_ptr<Clock::Wait>> timers_;  // the module's, by name
   std::deque<Event> events_;
   bool reporting_ = false;
+  bool ending_ = false;
 };
 
 }  // namespace meadowyard
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -32,6 +32,8 @@
   virtual std::uint64_t Start(const std::string& host, Errand errand) = 0;
   // Ends an attempt that is still out, with kCancelled.
   virtual void Cancel(std::uint64_t attempt) = 0;
+  // Ends an attempt of which its host has not been sent all, with kNotSent, and leaves any other alone.
+  virtual void Withdraw(std::uint64_t attempt) = 0;
 };
 
 }  // namespace meadowyard
--- a/src/decision/membership.hpp
+++ b/src/decision/membership.hpp
@@ -23,7 +23,7 @@
   void On(const ServerNews& news) {
     if (news.kind == ServerNews::Kind::kFailed) {
       // The list service may be swamped: ask again later each time, never all gateways at once.
-      ask_gap_ = std::min(std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 4);
+      ask_gap_ = std::min({std::max(kAskGap, ask_gap_ * 2), set_.ask_within / 4, kWatchAgain / 1.5});
       ask_at_ = now_ + ask_gap_ * (0.5 + Uniform());
       return;
     }
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/clock.hpp"
+#include "discovery/times.hpp"
 
 namespace meadowyard {
 namespace {
@@ -18,11 +19,8 @@
 using nlohmann::json;
 using tcp = asio::ip::tcp;
 
-constexpr Millis kWait = 5000;  // how long one call of the watch may wait: a cut-off shows only after it
-constexpr Millis kSilence =
-    4000;                       // beyond that (a new watch waits its turn): a call unanswered by then failed
-constexpr Millis kDial = 1000;  // a discovery that is cut off never answers a dial
-constexpr Millis kCallGap = 100;  // least time from call to call; the watch lapses after 200
+constexpr Millis kCallGap = 100;     // least time from call to call; the watch lapses after 200
+constexpr Millis kTimerEarly = 0.5;  // timers know no fractions of a microsecond
 constexpr std::size_t kMostList = 8 << 20;
 
 ServerState ToState(const std::string& phase) {
@@ -105,9 +103,13 @@
 
 // One call and all that its handlers use, so that those of a call given up touch nothing of the next.
 struct Discovery::Call {
-  explicit Call(asio::io_context& io) : timer(io) { parser.body_limit(kMostList); }
-  Millis begun = Now();
+  Call(asio::io_context& io, std::optional<std::int64_t> revision) : timer(io), after(revision) {
+    parser.body_limit(kMostList);
+  }
+  const Millis begun = Now();
+  Millis due = 0;
   asio::steady_timer timer;
+  const std::optional<std::int64_t> after;  // changes are asked for from here; nothing: the whole list
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   boost::beast::flat_buffer buffer;
@@ -115,7 +117,9 @@
 
 Discovery::Discovery(asio::io_context& io, tcp::endpoint address, std::optional<std::int64_t> revision,
                      Handlers handlers)
-    : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {}
+    : io_(io), address_(address), revision_(revision), handlers_(std::move(handlers)), pause_(io) {
+  Renew();
+}
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;  // asking again would be one more call on a shared service
@@ -138,31 +142,39 @@
   watching_ = false;
 }
 
-void Discovery::Ask() {
-  const auto call = call_ = std::make_shared<Call>(io_);
-  const bool fresh = socket_ == nullptr;
-  call->timer.expires_after(Span(fresh ? kDial : kWait + kSilence));
+// Fails the call unless it has come on by then.
+void Discovery::Expect(const std::shared_ptr<Call>& call, Millis within) {
+  call->due = Now() + within;
+  call->timer.expires_after(Span(within));
   call->timer.async_wait([this, call](error_code ec) {
-    if (!ec) Fail(call);
+    // One that was due already when the call came on is told all the same.
+    if (!ec && Now() >= call->due - kTimerEarly) Fail(call);
   });
-  if (!fresh) return Connected(call);
-  socket_ = std::make_shared<tcp::socket>(io_);
+}
+
+void Discovery::Ask() {
+  const auto call = call_ = std::make_shared<Call>(io_, revision_);
+  if (connected_) {
+    Expect(call, kWait + kSilence);
+    return Connected(call, kWait);
+  }
+  Expect(call, kDial);
   socket_->async_connect(address_, [this, call, socket = socket_](error_code ec) {
     if (call != call_) return;
     if (ec) return Fail(call);
-    call->timer.expires_after(Span(kWait + kSilence));
-    call->timer.async_wait([this, call](error_code timer_ec) {
-      if (!timer_ec) Fail(call);
-    });
-    Connected(call);
+    connected_ = true;
+    error_code ignored;
+    socket->set_option(tcp::no_delay(true), ignored);
+    Expect(call, kFirstAnswer);
+    Connected(call, kFirstWait);
   });
 }
 
-void Discovery::Connected(const std::shared_ptr<Call>& call) {
+void Discovery::Connected(const std::shared_ptr<Call>& call, Millis wait) {
   call->request.method(http::verb::get);
   std::string target = "/discovery/hosts";
-  if (revision_) {
-    target += "?after=" + std::to_string(*revision_) + "&wait_ms=" + std::to_string(static_cast<int>(kWait));
+  if (call->after) {
+    target += "?after=" + std::to_string(*call->after) + "&wait_ms=" + std::to_string(static_cast<int>(wait));
   }
   call->request.target(target);
   call->request.set(http::field::host, address_.address().to_string());
@@ -182,9 +194,14 @@
   const auto& answer = call->parser.get();
   auto list = answer.result() == http::status::ok ? ParseHostList(answer.body()) : std::nullopt;
   if (!list) return Fail(call);
+  // Changes to a list that is not the one held would leave hosts that have gone.
+  if (!list->complete && (!call->after || list->revision < *call->after)) {
+    revision_.reset();
+    return Fail(call);
+  }
   call->timer.cancel();
   call_.reset();
-  if (!answer.keep_alive()) socket_.reset();
+  if (!answer.keep_alive()) Renew();
   // A discovery that answers at once, as an agent with pushed lists does, must not be asked in a tight loop.
   pause_.expires_after(Span(kCallGap - (Now() - call->begun)));
   pause_.async_wait([this, moves = moves_](error_code ec) {
@@ -208,10 +225,17 @@
 void Discovery::Drop() {
   if (call_) call_->timer.cancel();
   call_.reset();
-  if (!socket_) return;
+  Renew();
+}
+
+// The next connection's descriptor is taken as the last one's is given back: whoever fills up the others,
+// there is one to learn by that hosts leave.
+void Discovery::Renew() {
   error_code ignored;
-  socket_->close(ignored);
-  socket_.reset();
+  if (socket_) socket_->close(ignored);
+  connected_ = false;
+  socket_ = std::make_shared<tcp::socket>(io_);
+  socket_->open(address_.protocol(), ignored);  // the dial tries again, and tells
 }
 
 }  // namespace meadowyard
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -63,18 +63,21 @@
  private:
   struct Call;
   void Ask();
-  void Connected(const std::shared_ptr<Call>& call);
+  void Expect(const std::shared_ptr<Call>& call, Millis within);
+  void Connected(const std::shared_ptr<Call>& call, Millis wait);
   void Answered(const std::shared_ptr<Call>& call);
   void Fail(const std::shared_ptr<Call>& call);
 
   void Drop();
+  void Renew();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
   std::optional<std::int64_t> revision_;  // none yet from this discovery: its numbers are its own
   const Handlers handlers_;
-  std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // kept between the calls of a watch
-  std::shared_ptr<Call> call_;                            // the one that is on; results of others are dropped
+  std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // always open; kept between the calls of a watch
+  bool connected_ = false;
+  std::shared_ptr<Call> call_;  // the one that is on; results of others are dropped
   std::uint64_t moves_ = 0;
   boost::asio::steady_timer pause_;
   bool watching_ = false;
--- a/src/fronts/http/client_server.cpp
+++ b/src/fronts/http/client_server.cpp
@@ -94,6 +94,7 @@
     const std::pair rank(session->standing(now), session->since());
     if (rank.first == Standing::kKept || (worst && least <= rank) || !session->MayEvict()) continue;
     if (idle_only && (rank.first == Standing::kHalfRequest || rank.first == Standing::kNew)) continue;
+    if (idle_only && rank.first == Standing::kBetween && !session->Rested(now)) continue;
     worst = session;
     least = rank;
   }
@@ -140,7 +141,7 @@
   stopped_ = std::move(done);
   const std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
   for (const auto& session : all) {
-    if (!pass_ && session->Idle()) session->Close();
+    if (!pass_ && session->Rested(Now())) session->Close();  // the others as they are swept
   }
   if (stopped_ && sessions_.empty()) asio::post(io_, std::exchange(stopped_, nullptr));
 }
--- a/src/fronts/http/client_server.hpp
+++ b/src/fronts/http/client_server.hpp
@@ -30,6 +30,7 @@
   Millis body_pause = 2000;             // longest time without any byte of a body that is coming
   Millis whole_body = 10000;            // one that is held whole must have come by then
   Millis stream_pause = 10000;          // the same of a long answer that a client reads
+  Millis arrives = 100;                 // an answer that was written has come to its client by then
   Millis linger = 500;                  // a client that was told of the close gets this to close first
 };
 
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -31,6 +31,14 @@
   buffer_.commit(boost::asio::buffer_copy(room, boost::asio::buffer(unread.data(), unread.size())));
 }
 
+RequestReader::Error RequestReader::ReadAhead(std::size_t most) {
+  Error ec;
+  while (!ec && buffer_.size() < most) {
+    buffer_.commit(socket_.read_some(buffer_.prepare(most - buffer_.size()), ec));
+  }
+  return ec;
+}
+
 bool IsMalformed(boost::system::error_code ec) {
   return ec.category() == http::make_error_code(http::error::bad_version).category() &&
          ec != http::error::end_of_stream && ec != http::error::partial_message;
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -59,6 +59,9 @@
   // What was read beyond the request.
   std::string_view unread() const;
   void Feed(std::string_view unread);
+  // Reads what has come behind the request until there is no more, or `most` of it is held; an error says
+  // which end that is, if there is one.
+  Error ReadAhead(std::size_t most);
 
  private:
   boost::asio::ip::tcp::socket& socket_;
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -22,7 +22,13 @@
       socket_(std::move(socket)),
       reader_(socket_),
       writer_(
-          socket_, [this] { return shared_from_this(); }, [this](AnswerWriter::End end) { Written(end); }) {}
+          socket_, [this] { return shared_from_this(); }, [this](AnswerWriter::End end) { Written(end); }),
+      leaving_(server.io_, socket_, reader_,
+               {[this] { return shared_from_this(); },
+                [this] {
+                  if (came_at_ == 0) came_at_ = Now();
+                },
+                [this] { Left(); }}) {}
 
 void ClientServer::Session::Begin() {
   Error ignored;
@@ -47,6 +53,10 @@
   return phase_ == Phase::kReading && !reader_.Begun() && socket_.available(ec) == 0;
 }
 
+bool ClientServer::Session::Rested(Millis now) {
+  return Idle() && (answered_ == 0 || now - since_ >= server_.limits_.arrives);
+}
+
 ClientServer::Standing ClientServer::Session::standing(Millis now) const {
   if (phase_ == Phase::kLingering) return Standing::kTold;
   if (phase_ != Phase::kReading || (reader_.Begun() && answered_ > 0)) return Standing::kKept;
@@ -64,6 +74,7 @@
   if (std::exchange(phase_, Phase::kClosed) == Phase::kClosed) return;
   Error ignored;
   socket_.close(ignored);
+  leaving_.End();
   Release();
   const auto self = shared_from_this();
   server_.Closed(self);
@@ -78,7 +89,8 @@
     const bool stalled = in_body_ ? now - came_on_ > limits.body_pause || now - body_at_ > limits.whole_body
                                   : begun_at_ > 0 && now - begun_at_ > limits.whole_request;
     if (stalled) return Send(FaultPage(408, "the request is not whole"));
-    if (now - since_ > (answered_ == 0 ? limits.first_request : limits.idle) && Idle()) Close();
+    const Millis most = server_.draining_ ? 0 : answered_ == 0 ? limits.first_request : limits.idle;
+    if (now - since_ > most && Rested(now)) Close();
   } else if (phase_ == Phase::kWaiting && upload_ && upload_->waiting() &&
              now - came_on_ > limits.body_pause) {
     Broken(FaultPage(408, "the request is not whole"));
@@ -92,6 +104,7 @@
 
 void ClientServer::Session::Enter(Phase phase) {
   phase_ = phase;
+  leaving_.End();
   in_body_ = false;
   since_ = came_on_ = Now();
   begun_at_ = 0;
@@ -175,11 +188,8 @@
       if (const auto self = weak.lock()) self->ReadOn();
     });
     request.rest = upload_;
-  } else if (!reader_.unread().empty()) {
-    came_at_ = request.received;  // with the one before it
-  } else {
-    WatchForLeaving();
   }
+  leaving_.Begin(/*reads=*/upload_ == nullptr);
   server_.handlers_.taken(std::move(request));
 }
 
@@ -202,21 +212,13 @@
 void ClientServer::Session::Whole() {
   if (phase_ != Phase::kWaiting || !upload_ || !upload_->waiting()) return;
   const auto upload = std::exchange(upload_, nullptr);
-  if (!reader_.unread().empty()) {
-    came_at_ = Now();
-  } else {
-    WatchForLeaving();
-  }
+  leaving_.Begin(/*reads=*/true);
   server_.handlers_.whole(id_);
   upload->Give(BodySource::Next::kWhole, {});
   upload->Detach();
 }
 
-void ClientServer::Session::Spoilt(Error ec) {
-  if (IsMalformed(ec)) return Broken(MalformedPage(ec));
-  Close();
-  server_.handlers_.gone(id_);
-}
+void ClientServer::Session::Spoilt(Error ec) { IsMalformed(ec) ? Broken(MalformedPage(ec)) : Left(); }
 
 void ClientServer::Session::Broken(Page page) {
   const std::string id = id_;
@@ -229,17 +231,10 @@
   if (const auto upload = std::exchange(upload_, nullptr)) upload->Detach();
 }
 
-// Nothing is read while a request is out: whoever sends on waits in its own socket, and takes no memory here.
-void ClientServer::Session::WatchForLeaving() {
-  socket_.async_wait(tcp::socket::wait_read, [this, self = shared_from_this(), turn = turn_](Error ec) {
-    if (phase_ != Phase::kWaiting || turn_ != turn) return;
-    if (!ec && socket_.available(ec) > 0 && !ec) {
-      came_at_ = Now();
-      return;
-    }
-    Close();  // its request is told off after the connection is forgotten
-    server_.handlers_.gone(id_);
-  });
+// The connection is forgotten first: whoever is told may look for it.
+void ClientServer::Session::Left() {
+  Close();
+  server_.handlers_.gone(id_);
 }
 
 // While the host keeps the rest of a long answer back nothing is written, and so no write finds the client
@@ -302,7 +297,6 @@
   reader_.Restart();
   if (HandedOver()) return;
   ReadHead();
-  if (server_.draining_ && Idle()) return Close();
   while (server_.Crowded() && server_.Evict(/*idle_only=*/true)) {
   }
 }
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -10,12 +10,13 @@
 #include "core/clock.hpp"
 #include "fronts/http/answer_writer.hpp"
 #include "fronts/http/client_server.hpp"
+#include "fronts/http/leave_watch.hpp"
 #include "fronts/http/request_reader.hpp"
 
 namespace meadowyard {
 
-// One request at a time: what comes before the last one is answered stays in the socket, or in the head's
-// buffer, and waits its turn. A client that leaves while it waits is noticed.
+// One request at a time: what comes before the last one is answered waits its turn, a little of it in the
+// head's buffer and the rest in the socket. A client that leaves while it waits is noticed.
 class ClientServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(ClientServer& server, boost::asio::ip::tcp::socket socket);
@@ -32,6 +33,9 @@
 
   // Between requests, with nothing unread: may be closed without losing anything that was taken.
   bool Idle();
+  // The same, and the last answer has had time to arrive: a request that crosses the close has the connection
+  // reset, which could take the answer with it.
+  bool Rested(Millis now);
   Millis since() const { return since_; }
   // Which to close first where places have run out; kKept may not be closed. One that has just connected gets
   // a moment for its first request to arrive: closed at once, it would only connect again.
@@ -55,7 +59,7 @@
   void Whole();
   void Spoilt(Error ec);
   void DropUpload();
-  void WatchForLeaving();
+  void Left();
   void WatchForReset();
   // The request was not taken whole, and never will be: its client is told so, and nobody else answers.
   void Broken(Page page);
@@ -71,6 +75,7 @@
   boost::asio::ip::tcp::socket socket_;
   RequestReader reader_;
   AnswerWriter writer_;
+  LeaveWatch leaving_;
   std::string body_;                // what was read of it before its request is taken
   std::shared_ptr<Upload> upload_;  // the rest of it
   std::string id_;
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -34,6 +34,7 @@
   // Whether the host has neither closed an idle connection nor sent anything on it. The pending wait may not
   // have been told yet, so the socket itself is asked.
   bool Fresh();
+  bool SentWhole() const { return writer_.WrittenWhole(); }
   Millis rested_at() const { return rested_at_; }
   // Ends the job, if there is one, and the connection with it.
   void End(Result result);
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/clock.hpp"
@@ -53,9 +55,13 @@
   const Millis patience = errand.deadline - Now();
   Connection::Job job{std::move(errand), attempt, patience};
   auto& idle = found->second.idle;
-  while (!idle.empty()) {
-    const auto connection = std::move(idle.back());
-    idle.pop_back();
+  // The most recently used of those that have rested for long enough: they are in that order.
+  const Millis rested = Now() - limits_.second_answer;
+  auto end = std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c->rested_at() > rested; });
+  while (end != idle.begin()) {
+    end = std::prev(end);
+    const auto connection = std::move(*end);
+    end = idle.erase(end);
     if (connection->Fresh()) {
       connection->Run(std::move(job));
       return attempt;
@@ -84,6 +90,13 @@
   connection->End(Result::kCancelled);
 }
 
+void HostPool::Withdraw(std::uint64_t attempt) {
+  const auto found = active_.find(attempt);
+  if (found == active_.end() || found->second->SentWhole()) return;
+  const auto connection = found->second;
+  connection->End(Result::kNotSent);
+}
+
 void HostPool::PassIdle(Pass pass) {
   pass_ = std::move(pass);
   if (!pass_) return;
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -25,6 +25,9 @@
     Millis dial_timeout = 250;
     Millis idle_timeout = 15000;    // hosts close connections that stood idle for this long
     std::size_t connections = 256;  // over all hosts
+    // A host may answer a request a second time, some milliseconds later: on a connection that had gone on to
+    // the next request by then, nothing would tell the one from the other. So it rests for this long first.
+    Millis second_answer = 20;
   };
   struct Handlers {
     std::function<bool(const std::string& host)> may_use;  // asked again once a dial has taken its time
@@ -43,6 +46,7 @@
   std::uint64_t Start(const std::string& host, Errand errand) override;
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt) override;
+  void Withdraw(std::uint64_t attempt) override;
 
   // Idle connections, those that are now and those that will be, go to `pass` instead of back to the pool;
   // what it doesn't take is kept. Null: they are kept again.
--- a/src/upstream/tunnel_dialer.cpp
+++ b/src/upstream/tunnel_dialer.cpp
@@ -63,9 +63,11 @@
  private:
   // Whatever it waits for, the host has had nothing of the client's: it never ran.
   void Arm(Millis wait) {
-    timer_.expires_after(Span(std::min(wait, errand_.deadline - Now())));
-    timer_.async_wait([self = shared_from_this()](error_code ec) {
-      if (!ec) self->End(Result::kConnectFailed);
+    const Millis left = std::min(wait, errand_.deadline - Now());
+    timer_.expires_after(Span(left));
+    // One that was due already when it was set anew is told all the same.
+    timer_.async_wait([self = shared_from_this(), turn = ++waits_](error_code ec) {
+      if (!ec && self->waits_ == turn) self->End(Result::kConnectFailed);
     });
   }
 
@@ -128,6 +130,7 @@
   Errand errand_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  std::uint64_t waits_ = 0;  // which wait of the timer is the one that counts
   std::optional<ParentHandshake> handshake_;
   std::string output_, input_;
   std::array<char, 2048> piece_;
@@ -165,11 +168,11 @@
   return number;
 }
 
-void TunnelDialer::Cancel(std::uint64_t attempt) {
+void TunnelDialer::End(std::uint64_t attempt, Result result) {
   const auto found = dials_.find(attempt);
   if (found == dials_.end()) return;
   const auto dial = found->second;
-  dial->End(Result::kCancelled);
+  dial->End(result);
 }
 
 }  // namespace meadowyard
--- a/src/upstream/tunnel_dialer.hpp
+++ b/src/upstream/tunnel_dialer.hpp
@@ -33,10 +33,13 @@
   void SetParent(std::optional<ParentAccess> parent) { parent_ = std::move(parent); }
 
   std::uint64_t Start(const std::string& host, Errand errand) override;
-  void Cancel(std::uint64_t attempt) override;
+  void Cancel(std::uint64_t attempt) override { End(attempt, Result::kCancelled); }
+  // A tunnel is sent nothing until it is open.
+  void Withdraw(std::uint64_t attempt) override { End(attempt, Result::kNotSent); }
 
  private:
   class Dial;
+  void End(std::uint64_t attempt, Result result);
   boost::asio::io_context& io_;
   Times times_;
   const std::function<bool(const std::string&)> may_use_;
@@ -54,9 +57,12 @@
     const bool tunnel = errand.opened != nullptr;
     return (tunnel ? tunnels_ : requests_).Start(host, std::move(errand)) << 1 | (tunnel ? 1u : 0u);
   }
-  void Cancel(std::uint64_t attempt) override { (attempt & 1 ? tunnels_ : requests_).Cancel(attempt >> 1); }
+  void Cancel(std::uint64_t attempt) override { Of(attempt).Cancel(attempt >> 1); }
+  void Withdraw(std::uint64_t attempt) override { Of(attempt).Withdraw(attempt >> 1); }
 
  private:
+  Upstream& Of(std::uint64_t attempt) { return attempt & 1 ? tunnels_ : requests_; }
+
   Upstream& requests_;
   Upstream& tunnels_;
 };
--- a/tests/cancel_test.cpp
+++ b/tests/cancel_test.cpp
@@ -45,12 +45,9 @@
     settings["limits"]["maxAttempts"] = 2;
     return settings;
   }
-  // Each answers a call of its own.
-  void News(World& world, int revision, const std::string& phase, const tcp::endpoint& at) {
-    ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() > told_; }));
-    world.discovery.requests[told_++].Answer(200, List(revision, false, {Member("h0", at, phase)}).dump());
+  static void News(World& world, int revision, const std::string& phase, const tcp::endpoint& at) {
+    world.Tell(revision, {Member("h0", at, phase)});
   }
-  std::size_t told_ = 0;
 };
 
 TEST_P(Cancelled, EndsOnceAndLeavesNothing) {
--- a/tests/exhaustion_test.cpp
+++ b/tests/exhaustion_test.cpp
@@ -115,6 +115,8 @@
   waits.Send(ApiCall("waits"));
   service.discovery.requests.back().on->Close();  // a new connection is wanted
   BearsIt(version);
+  EXPECT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() > asked; }))
+      << "hosts that leave must be learned of all the same";
   AnswerHeld();
   EXPECT_EQ(open->Await().body(), "open");
   EXPECT_EQ(kept->Await().body(), "kept");
@@ -125,10 +127,41 @@
   Limit(*version.process, RLIMIT_NOFILE, 1024);
   const unsigned status = waits.Await().result_int();  // refused, if it was let in before there was room
   EXPECT_TRUE(status == 200 || status == 503) << status;
-  EXPECT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() > asked; }));
   ServesAsBefore(version);
 }
 
+// Idle clients take all the places that there are while discovery is down: when it is back it is asked.
+TEST_F(Exhaustion, OfPlacesByIdleClientsWhileDiscoveryIsDown) {
+  service.config["limits"] = {{"sockets", 120}};
+  service.Write(service.config.dump());
+  const auto limited = [] {
+    const rlimit limit{120, 120};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  };
+  auto version = service.Start(kInstrumented ? std::function<void()>() : limited);
+  ASSERT_TRUE(RunUntil(service.io, [&] { return !service.discovery.requests.empty(); }));
+  const std::size_t asked = service.discovery.requests.size();
+  std::vector<std::unique_ptr<Client>> idle;
+  for (int i = 0; i < 300; ++i) {
+    idle.push_back(std::make_unique<Client>(service.io, service.listen));
+    if (i % 3 == 0) idle.back()->Send(ApiCall("idle" + std::to_string(i)));
+    service.io.poll();
+  }
+  service.discovery.requests.back().on->Close();
+  EXPECT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() > asked; }));
+  service.discovery.requests.back().Answer(
+      200, List(2, false, {Member("h0", service.hosts[0]->address(), "draining")}).dump());
+  ASSERT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() > asked + 1; }));
+  const std::size_t sent = service.Sent(0);
+  idle.clear();
+  for (int i = 0; i < 10; ++i) {
+    Client client(service.io, service.listen);
+    client.Send(ApiCall("after" + std::to_string(i)));
+    EXPECT_EQ(client.Await().body(), "after" + std::to_string(i));
+  }
+  EXPECT_EQ(service.Sent(0), sent);
+}
+
 // A flood of bodies that hosts don't take in, with no memory for them.
 TEST_F(Exhaustion, OfMemory) {
   if (kInstrumented) GTEST_SKIP() << "shown in Release alone";
--- /dev/null
+++ b/tests/leave_test.cpp
@@ -0,0 +1,137 @@
+// A client that leaves while its request waits: whatever it sent before it went, no attempt begins for it
+// more than 0.1 s later. Also where the settings let nothing be cancelled.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+
+#include "raw_peers.hpp"
+#include "world.hpp"
+
+namespace meadowyard::testing {
+namespace {
+
+enum class Stage { kQueued, kUploadHeldBack, kDialling, kBetweenAttempts };
+enum class How { kCloses, kResets, kHalfCloses };
+enum class Before { kNothing, kSomeBytes, kARequest, kMuch };
+constexpr const char* kStages[] = {"Queued", "UploadHeldBack", "Dialling", "BetweenAttempts"};
+constexpr const char* kHows[] = {"Closes", "Resets", "HalfCloses"};
+constexpr const char* kBefores[] = {"", "AfterSomeBytes", "AfterARequest", "AfterMuch"};
+constexpr Millis kNoticed = 100;
+
+std::size_t Descriptors() {
+  std::size_t n = 0;
+  for ([[maybe_unused]] const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) ++n;
+  return n;
+}
+
+std::string More(Before before) {
+  switch (before) {
+    case Before::kNothing: return "";
+    case Before::kSomeBytes: return "GET /api HT";
+    case Before::kARequest: return ApiCall("second");
+    case Before::kMuch: break;
+  }
+  std::string much;
+  for (int i = 0; much.size() < 20000; ++i) much += ApiCall("more" + std::to_string(i));
+  return much;
+}
+
+struct Leaves : ::testing::TestWithParam<std::tuple<Stage, How, Before>> {
+  static nlohmann::json Settings() {
+    auto settings = TestSettings();
+    settings["limits"]["cancelling"] = false;
+    settings["limits"]["dialTimeoutMs"] = 20000.0;
+    return settings;
+  }
+};
+
+TEST_P(Leaves, AndNothingIsSentForIt) {
+  const auto& [stage, how, more] = GetParam();
+  World world(2, Settings(), 300, true);
+  for (auto& host : world.hosts) host->serve = [](const Peer::Taken& taken) { taken.Answer(200, ""); };
+  // A host whose queue is full for now: a dial to it hangs.
+  tcp::acceptor crowded(world.io, tcp::v4());
+  crowded.bind(Loopback());
+  crowded.listen(0);
+  crowded.non_blocking(true);
+  tcp::socket fill(world.io);
+  fill.connect(crowded.local_endpoint());
+  const auto first = stage == Stage::kDialling ? crowded.local_endpoint() : world.host(0).address();
+  const bool up = stage == Stage::kDialling || stage == Stage::kBetweenAttempts;
+  world.Tell(50, {Member("h0", first, up ? "up" : "draining")}, true);
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() >= 2; }));
+  if (stage == Stage::kBetweenAttempts) {
+    world.host(0).serve = [](const Peer::Taken& taken) { taken.on->Reset(); };
+  }
+  world.Figures();  // its connections have been closed again
+  const std::size_t before = Descriptors();
+
+  const auto client = RawConnect(world.io, world.gateway->address());
+  std::string text = ApiCall("left", "view", "9000m");
+  if (stage == Stage::kUploadHeldBack) {
+    text.insert(text.size() - 2, "Content-Length: 1000000\r\n");
+    text += std::string(80000, 'x');
+  }
+  client->Say(text);
+  ASSERT_TRUE(world.Until([&] {
+    const bool tried = stage != Stage::kBetweenAttempts || !world.host(0).requests.empty();
+    return client->said == text.size() && tried && world.Figures()["current"] >= (up ? 1 : 0);
+  }));
+  client->Say(More(more));
+  ASSERT_TRUE(world.Until([&] { return client->said == text.size() + More(more).size(); }));
+  ASSERT_EQ(client->all, 0u) << "it has its answer already: " << client->got;
+  switch (how) {
+    case How::kCloses: client->socket.close(); break;
+    case How::kResets: client->Reset(); break;
+    case How::kHalfCloses: client->HalfClose(); break;
+  }
+  world.io.run_for(std::chrono::microseconds(static_cast<int>(kNoticed * 1000)));
+
+  // Now there is somewhere to go: for the client that left, and for another one.
+  const std::size_t sent = world.host(0).requests.size();
+  if (stage == Stage::kDialling) {
+    std::string bytes;
+    std::vector<tcp::socket> accepted;
+    ASSERT_TRUE(world.Until([&] {
+      error_code ec;
+      tcp::socket socket = crowded.accept(ec);
+      if (!ec) accepted.push_back(std::move(socket));
+      for (tcp::socket& s : accepted) {
+        char piece[4096];
+        s.non_blocking(true);
+        if (const std::size_t n = s.read_some(asio::buffer(piece), ec); !ec) bytes.append(piece, n);
+      }
+      return !bytes.empty() || Descriptors() <= before + accepted.size();
+    }));
+    EXPECT_EQ(bytes, "");
+  }
+  world.Tell(51, {Member("h0", world.host(0).address(), "draining"), Member("h1", world.host(1).address())},
+             true);
+  Client other(world.io, world.gateway->address());
+  bool served = false;
+  for (std::size_t i = 1; i <= 200 && !served; ++i) {
+    other.Send(ApiCall("other" + std::to_string(i), "view", "400m"));
+    served = other.Await(i).result_int() == 200;
+  }
+  EXPECT_TRUE(served);
+  EXPECT_EQ(world.host(0).requests.size(), sent);
+  for (const Peer::Taken& taken : world.host(1).requests) {
+    EXPECT_TRUE(taken.http["Req-Id"].starts_with("other")) << taken.http["Req-Id"];
+  }
+  EXPECT_EQ(world.Figures()["current"], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(While, Leaves,
+                         ::testing::Combine(::testing::Values(Stage::kQueued, Stage::kUploadHeldBack,
+                                                              Stage::kDialling, Stage::kBetweenAttempts),
+                                            ::testing::Values(How::kCloses, How::kResets, How::kHalfCloses),
+                                            ::testing::Values(Before::kNothing, Before::kSomeBytes,
+                                                              Before::kARequest, Before::kMuch)),
+                         [](const auto& info) {
+                           return std::string(kStages[static_cast<int>(std::get<0>(info.param))]) +
+                                  kHows[static_cast<int>(std::get<1>(info.param))] +
+                                  kBefores[static_cast<int>(std::get<2>(info.param))];
+                         });
+
+}  // namespace
+}  // namespace meadowyard::testing
--- a/tests/orders_test.cpp
+++ b/tests/orders_test.cpp
@@ -212,6 +212,7 @@
       const auto [id, attempt] = numbers[number - 1];
       seat.sink_.Cancelled(id, attempt);
     }
+    void Withdraw(std::uint64_t) override {}  // these hosts have all of a request at once
     CoreSeat& seat;
     std::vector<std::pair<int, int>> numbers;
   };
--- /dev/null
+++ b/tests/race_test.cpp
@@ -0,0 +1,168 @@
+// Bad orders of events on real connections, forced each time: what is held back is let go on a condition.
+#include <gtest/gtest.h>
+
+#include "core/clock.hpp"
+#include "fronts/http/client_server.hpp"
+#include "raw_peers.hpp"
+#include "upstream/host_pool.hpp"
+#include "world.hpp"
+
+namespace meadowyard::testing {
+namespace {
+
+// Guards what may be repeated against going out again cut short: once a long body has gone to a host piece by
+// piece, only its first piece is here, also when all of it has gone.
+TEST(Races, ALongBodyThatWentWholeIsNotSentAgainWithoutItsEnd) {
+  World world(2);
+  const std::string body(300000, 'x');
+  std::size_t whole = 0, reset = 0;
+  for (auto& host : world.hosts) {
+    host->serve = [&](const Peer::Taken& taken) {
+      whole += taken.http.body().size() == body.size();
+      if (std::exchange(reset, reset + 1) == 0) return taken.on->Reset();
+      taken.Answer(200, "");
+    };
+  }
+  const auto client = world.Connect();
+  client->Send(ApiCall("r1", "view", "9000m", body));
+  const unsigned status = client->Await().result_int();
+  EXPECT_EQ(status, 503u) << "safe to try again, but not from here";
+  EXPECT_EQ(world.host(0).requests.size() + world.host(1).requests.size(), whole);
+  EXPECT_EQ(whole, 1u);
+}
+
+meadowyard::ClientServer::Handlers Handlers(std::function<void(meadowyard::ClientRequest)> taken) {
+  return {[] { return true; },
+          [] { return true; },
+          [](const std::string&, Effect) { return Policy::Admission::kYes; },
+          std::move(taken),
+          [](const std::string&) {},
+          [](const std::string&) {}};
+}
+
+// Guards an answer on its way, and a request that crosses the drain: a connection that was just answered is
+// not closed under both, and what comes on it is served and told of the close.
+TEST(Races, ARequestThatCrossesTheDrainIsServed) {
+  asio::io_context io;
+  meadowyard::ClientLimits limits;
+  limits.arrives = 60000;
+  meadowyard::ClientServer server(io, {Loopback()}, limits, Handlers([](meadowyard::ClientRequest request) {
+                                    request.answer(meadowyard::Answer{});
+                                  }));
+  Client client(io, server.address());
+  client.Send(ApiCall("r1"));
+  ASSERT_EQ(client.Await(1).result(), http::status::ok);
+  bool done = false;
+  server.StopListening();
+  server.Drain([&] { done = true; });
+  client.Send(ApiCall("r2"));
+  EXPECT_EQ(client.Await(2).result(), http::status::ok);
+  EXPECT_FALSE(client.Await(2).keep_alive());
+  EXPECT_TRUE(client.AwaitEnd());
+  client.Leave();
+  EXPECT_TRUE(RunUntil(io, [&] { return done; }));
+}
+
+// And once it has arrived the connection is closed, without a request to wait for.
+TEST(Races, ADrainClosesConnectionsWhoseAnswerHasArrived) {
+  asio::io_context io;
+  meadowyard::ClientServer server(io, {Loopback()}, {}, Handlers([](meadowyard::ClientRequest request) {
+                                    request.answer(meadowyard::Answer{});
+                                  }));
+  Client client(io, server.address());
+  client.Send(ApiCall("r1"));
+  ASSERT_EQ(client.Await(1).result(), http::status::ok);
+  bool done = false;
+  server.StopListening();
+  server.Drain([&] { done = true; });
+  EXPECT_TRUE(client.AwaitEnd());
+  EXPECT_TRUE(RunUntil(io, [&] { return done; }));
+}
+
+// Guards a request whose last byte comes when all that was open has been answered, before the process ends:
+// it gets its answer too, and goes to no host.
+TEST(Races, ARequestThatIsWholeAfterTheLastAnswersIsRefused) {
+  World world;
+  const auto held = world.Connect(), half = world.Connect();
+  const std::string text = ApiCall("half", "pay");
+  half->Send(text.substr(0, 60));
+  held->Send(ApiCall("held", "pay", "20000m"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  bool done = false;
+  world.gateway->Stop([&] { done = true; }, {0, 0, 1});
+  ASSERT_EQ(held->Await().result(), http::status::gateway_timeout);
+  ASSERT_FALSE(done);
+  half->Send(text.substr(60));
+  EXPECT_EQ(half->Await().result(), http::status::service_unavailable);
+  EXPECT_TRUE(world.Until([&] { return done; }));
+  EXPECT_EQ(world.host().requests.size(), 1u);
+}
+
+// Guards a request against the second answer to the one before it, which comes when the connection has gone
+// on: until that has had its time, another connection is used.
+TEST(Races, AConnectionRestsForASecondAnswerBeforeItGoesOn) {
+  for (const bool rested : {false, true}) {
+    asio::io_context io;
+    Peer host(io);
+    meadowyard::HostPool pool(io, {5000, 60000, 10, rested ? 0.0 : 60000.0},
+                              {[](const std::string&) { return true; }});
+    meadowyard::HostList list;
+    list.hosts.push_back({Server(), host.address()});
+    list.hosts[0].server.id = "h0";
+    pool.Update(list);
+    std::string last;
+    int ended = 0;
+    const auto start = [&] {
+      Errand errand;
+      errand.call = std::make_shared<const Call>(Call{"GET", "/api", {}, ""});
+      errand.deadline = Now() + 20000;
+      errand.done = [&](Result, Reply reply) { ++ended, last = reply.body; };
+      pool.Start("h0", std::move(errand));
+    };
+    start();
+    ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 1; }));
+    host.requests[0].Answer(200, "one");
+    ASSERT_TRUE(RunUntil(io, [&] { return ended == 1; }));
+    start();
+    ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 2; }));
+    EXPECT_EQ(host.connections.size(), rested ? 1u : 2u);
+    if (rested) continue;
+    host.requests[0].Answer(200, "one");  // again
+    host.requests[1].Answer(200, "two");
+    ASSERT_TRUE(RunUntil(io, [&] { return ended == 2; }));
+    EXPECT_EQ(last, "two");
+  }
+}
+
+// Guards against a write for a client that left while the host's connection was coming up.
+TEST(Races, ADialThatComesUpForNobodyIsNotWrittenTo) {
+  asio::io_context io;
+  Peer host(io);
+  meadowyard::HostPool pool(io, {}, {[](const std::string&) { return true; }});
+  meadowyard::HostList list;
+  list.hosts.push_back({Server(), host.address()});
+  list.hosts[0].server.id = "h0";
+  pool.Update(list);
+  std::vector<Result> results;
+  std::vector<std::uint64_t> numbers;
+  const auto start = [&] {
+    Errand errand;
+    errand.call = std::make_shared<const Call>(Call{"GET", "/api", {}, ""});
+    errand.deadline = Now() + 20000;
+    errand.done = [&](Result result, Reply) { results.push_back(result); };
+    numbers.push_back(pool.Start("h0", std::move(errand)));
+  };
+  start();
+  pool.Withdraw(numbers[0]);
+  EXPECT_EQ(results, std::vector{Result::kNotSent});
+  start();
+  ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 1; }));
+  pool.Withdraw(numbers[1]);  // it is with its host: left alone
+  EXPECT_EQ(pool.connections(), 1u);
+  host.requests[0].Answer(200, "");
+  ASSERT_TRUE(RunUntil(io, [&] { return results.size() == 2; }));
+  EXPECT_EQ(results[1], Result::kServed);
+}
+
+}  // namespace
+}  // namespace meadowyard::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -57,6 +57,19 @@
     return ::testing::AssertionFailure() << "did not come about";
   }
 
+  // What discovery has from now on: told to the call that waits, or to the next one where that was given up.
+  void Tell(int revision, std::vector<nlohmann::json> members, bool complete = false) {
+    news = List(revision, complete, std::move(members));
+    const auto tell = [this](const Peer::Taken& call) {
+      const std::string target(call.http.target());
+      const std::size_t after = target.find("after=");
+      const bool knows =
+          after != std::string::npos && std::stoi(target.substr(after + 6)) >= news["revision"];
+      if (!knows) call.Answer(200, news.dump());
+    };
+    if (!discovery.requests.empty()) tell(discovery.requests.back());
+    discovery.serve = tell;
+  }
   std::unique_ptr<Client> Connect() { return std::make_unique<Client>(io, gateway->address()); }
   Peer& host(std::size_t i = 0) { return *hosts[i]; }
   // As operators read them; the world needs its `admin`.
@@ -69,6 +82,7 @@
   asio::io_context io;
   Peer discovery{io};
   std::vector<std::unique_ptr<Peer>> hosts;
+  nlohmann::json news;
   meadowyard::Config config;
   std::optional<meadowyard::Service> gateway;
 };
