--- a/src/fronts/http/client_server.cpp
+++ b/src/fronts/http/client_server.cpp
@@ -119,7 +119,7 @@
     if (pass_) session->Yield();
     session->Sweep(Now());
   }
-  while (!handlers_.room() && Evict(/*idle_only=*/true)) {
+  while ((!handlers_.room() || Crowded()) && Evict(/*idle_only=*/true)) {
   }
   if (!Full()) Accept();  // it may have been given up for want of memory
 }
--- a/src/lab/discovery_stand_in.cpp
+++ b/src/lab/discovery_stand_in.cpp
@@ -111,8 +111,8 @@
   if (after < revision_ || wait <= 0) return Tell(stream, gateway, after, false);
   Watch watch{stream, gateway, after, std::make_unique<asio::steady_timer>(io_, Wait(wait))};
   watch.timer->async_wait([this, stream, gateway, after](error_code ec) {
-    if (ec) return;
-    watches_.remove_if([&](const Watch& w) { return w.stream == stream; });
+    // One that was told of a change as its time ran out has its answer.
+    if (ec || watches_.remove_if([&](const Watch& w) { return w.stream == stream; }) == 0) return;
     Tell(stream, gateway, after, false);
   });
   watches_.push_back(std::move(watch));
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -383,6 +383,7 @@
   one->Await();
   host.requests[1].Answer(200, "");
   two->Await();
+  world.LetHostsRest();
   one->Send(ApiCall("r3"));
   ASSERT_TRUE(world.Until([&] { return host.requests.size() == 3; }));
   EXPECT_EQ(host.connections.size(), 2u);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -721,6 +721,21 @@
   }
 }
 
+// Guards what discovery has against being asked for too late: however often it failed, and however long the
+// settings let a gateway go without asking.
+TEST(List, IsAskedForAgainInTimeHoweverOftenThatFailed) {
+  for (const Millis ask_within : {10000.0, 60000.0}) {
+    Settings s = MakeSettings();
+    s.ask_for_list = true, s.ask_within = ask_within;
+    Gateway g(s);
+    g.List({});
+    for (int i = 0; i < 40; ++i) {
+      g.Do(ServerNews{ServerNews::Kind::kFailed, {}});
+      EXPECT_EQ(Gateway::Count<Watch>(g.Pass(kWatchAgain + 10)), 1) << i;
+    }
+  }
+}
+
 TEST(WarmKeys, SameKeyKeepsToTheSameServersAtEveryGateway) {
   Settings s = MakeSettings();
   s.warm_keys = true;
--- a/tests/stream_test.cpp
+++ b/tests/stream_test.cpp
@@ -122,6 +122,7 @@
     EXPECT_TRUE(parser.get().body() == body);
     EXPECT_TRUE(parser.get().keep_alive());
     host->text.clear();
+    raw.world.LetHostsRest();
     client->Write(ApiCall(chunked ? "s1" : "s0"));  // on the same two connections
     ASSERT_TRUE(raw.world.Until([&] { return host->Read() > 0; }));
     error_code ignored;
@@ -210,6 +211,7 @@
     return client.text.ends_with("ok");
   }));
   EXPECT_TRUE(client.text.starts_with("HTTP/1.1 200"));
+  raw.world.LetHostsRest();
   client.Write(ApiCall("r2"));
   host->text.clear();
   EXPECT_TRUE(raw.world.Until([&] { return host->Read() > 0; })) << "both connections serve on";
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -14,6 +14,7 @@
 
 #include "app/service.hpp"
 #include "config/config.hpp"
+#include "core/clock.hpp"
 #include "peers.hpp"
 
 namespace meadowyard::testing {
@@ -70,6 +71,11 @@
     if (!discovery.requests.empty()) tell(discovery.requests.back());
     discovery.serve = tell;
   }
+  // Until connections to hosts have rested for as long as a second answer may take: then they are used again.
+  void LetHostsRest() {
+    const Millis until = Now() + 2 * meadowyard::HostPool::Limits().second_answer;
+    EXPECT_TRUE(Until([&] { return Now() > until; }));
+  }
   std::unique_ptr<Client> Connect() { return std::make_unique<Client>(io, gateway->address()); }
   Peer& host(std::size_t i = 0) { return *hosts[i]; }
   // As operators read them; the world needs its `admin`.
