--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -1,6 +1,9 @@
 // News of the hosts within the platform's 6 s, whatever became of a call: through sockets, discovery being a
 // stand-in that holds back what the case says.
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <thread>
 
@@ -70,6 +73,43 @@
   EXPECT_EQ(world.discovery.requests[1].on, world.discovery.requests[0].on);
 }
 
+// Guards what is learned of hosts that leave against clients that hold every other descriptor: the next
+// connection's is there when the last one breaks, whoever takes all that are free just then.
+TEST(DiscoveryDial, HasADescriptorWhenThereIsNoneLeft) {
+  asio::io_context io;
+  Peer peer(io);
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  std::vector<int> taken;
+  const auto take_all = [&] {
+    for (int fd = 0; (fd = ::open("/dev/null", O_RDONLY | O_CLOEXEC)) >= 0;) taken.push_back(fd);
+  };
+  int failed = 0;
+  meadowyard::Discovery* asked = nullptr;
+  meadowyard::Discovery discovery(io, peer.address(), 41,
+                                  {[](const meadowyard::HostList&) {},
+                                   [&] {
+                                     ++failed;
+                                     take_all();
+                                     asked->Watch();
+                                     ::close(taken.back());  // that the stand-in may accept
+                                     taken.pop_back();
+                                   }});
+  asked = &discovery;
+  discovery.Watch();
+  ASSERT_TRUE(RunUntil(io, [&] { return peer.requests.size() == 1; }));
+  const int next = ::dup(0);
+  ::close(next);
+  const rlimit few{static_cast<rlim_t>(next) + 10, before.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &few), 0);
+  take_all();
+  peer.requests[0].on->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return peer.requests.size() == 2 || failed > 1; }));
+  EXPECT_EQ(failed, 1);
+  for (const int fd : taken) ::close(fd);
+  setrlimit(RLIMIT_NOFILE, &before);
+}
+
 // Guards against changes to another list than the one that is held: hosts that left in between would stay.
 TEST(DiscoveryChanges, ThatDoNotFollowAreAskedForAsAWholeList) {
   World world(2);
--- a/tests/leave_test.cpp
+++ b/tests/leave_test.cpp
@@ -63,7 +63,6 @@
   if (stage == Stage::kBetweenAttempts) {
     world.host(0).serve = [](const Peer::Taken& taken) { taken.on->Reset(); };
   }
-  world.Figures();  // its connections have been closed again
   const std::size_t before = Descriptors();
 
   const auto client = RawConnect(world.io, world.gateway->address());
@@ -79,6 +78,8 @@
   }));
   client->Say(More(more));
   ASSERT_TRUE(world.Until([&] { return client->said == text.size() + More(more).size(); }));
+  while (world.io.poll() > 0) {  // the gateway has seen all of that before the end comes
+  }
   ASSERT_EQ(client->all, 0u) << "it has its answer already: " << client->got;
   switch (how) {
     case How::kCloses: client->socket.close(); break;
@@ -118,6 +119,7 @@
   for (const Peer::Taken& taken : world.host(1).requests) {
     EXPECT_TRUE(taken.http["Req-Id"].starts_with("other")) << taken.http["Req-Id"];
   }
+  EXPECT_LE(world.host(1).connections.size(), world.host(1).requests.size()) << "half a request came";
   EXPECT_EQ(world.Figures()["current"], 0);
 }
 
