--- a/tests/leave_test.cpp
+++ b/tests/leave_test.cpp
@@ -87,6 +87,8 @@
     case How::kHalfCloses: client->HalfClose(); break;
   }
   world.io.run_for(std::chrono::microseconds(static_cast<int>(kNoticed * 1000)));
+  error_code ignored;
+  client->socket.close(ignored);
 
   // Now there is somewhere to go: for the client that left, and for another one.
   const std::size_t sent = world.host(0).requests.size();
