--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -81,6 +81,101 @@
   EXPECT_EQ(process.Wait(), 0);
 }
 
+// Guards a planned end whatever signals come with it: what was taken has its one answer, and the exit is
+// clean. Without a list a request waits for a host, and is refused in time.
+TEST(Program, EndsCleanlyWhateverSignalsCome) {
+  struct Case {
+    const char* name;
+    std::vector<int> signals;
+    bool listed;
+    unsigned status;
+  };
+  for (const Case& c : {Case{"SIGTERM twice", {SIGTERM, SIGTERM}, true, 200},
+                        Case{"SIGHUP, then SIGTERM", {SIGHUP, SIGTERM}, true, 200},
+                        Case{"SIGTERM, then SIGHUP", {SIGTERM, SIGHUP, SIGTERM}, true, 200},
+                        Case{"SIGTERM before the first list", {SIGTERM}, false, 503}}) {
+    SCOPED_TRACE(c.name);
+    asio::io_context io;
+    Peer host(io), discovery(io);
+    const tcp::endpoint listen = Loopback(FreePortNumber());
+    auto members = std::vector<nlohmann::json>();
+    if (c.listed) members.push_back(Member("h0", host.address()));
+    const nlohmann::json config = {{"seed", "1f"},
+                                   {"discovery", ToText(discovery.address())},
+                                   {"known", List(1, true, members)},
+                                   {"settings", TestSettings()}};
+    const File file(config.dump());
+    Process process({{"NODE_CONFIG", file.path},
+                     {"NODE_LISTEN", ToText(listen)},
+                     {"NODE_DISCOVERY", ToText(discovery.address())}});
+    ASSERT_TRUE(RunUntil(io, [&] { return !discovery.requests.empty(); }));  // it listens by then
+    Client client(io, listen);
+    client.Send(ApiCall("r1", "pay", c.listed ? "15000m" : "2000m"));
+    if (c.listed) {
+      ASSERT_TRUE(RunUntil(io, [&] { return host.requests.size() == 1; }));
+    } else {  // it was taken: this one came behind it
+      Client probe(io, listen);
+      probe.Send("GET /up HTTP/1.1\r\n\r\n");
+      EXPECT_EQ(probe.Await().result_int(), 503u);
+    }
+    for (const int signal : c.signals) kill(process.id(), signal);
+    bool stopping = !c.listed;
+    for (int i = 0; i < 1000 && !stopping; ++i) {
+      Client probe(io, listen);
+      probe.Send("GET /up HTTP/1.1\r\n\r\n");
+      stopping = probe.Await().result_int() == 503;
+    }
+    EXPECT_TRUE(stopping);
+    if (c.listed) host.requests[0].Answer(200, "done");
+    EXPECT_EQ(client.Await().result_int(), c.status);
+    EXPECT_TRUE(client.AwaitEnd());
+    EXPECT_EQ(client.answers().size(), 1u);
+    client.Leave();
+    EXPECT_TRUE(RunUntil(io, [&] { return process.Ended(); }));
+    EXPECT_EQ(process.Wait(), 0);
+    EXPECT_LE(host.requests.size(), 1u);
+  }
+}
+
+// Guards a restart of many at once: each is ready within 10 s with the list that it was given, though
+// discovery refuses, accepts and is silent, or turns every call away.
+TEST(Program, IsReadyInTimeWhateverDiscoveryDoes) {
+  enum class Does { kRefuses, kIsSilent, kTurnsAway };
+  for (const Does does : {Does::kRefuses, Does::kIsSilent, Does::kTurnsAway}) {
+    asio::io_context io;
+    Peer host(io), discovery(io);
+    const std::string at = ToText(discovery.address());
+    if (does == Does::kRefuses) discovery.StopListening();
+    if (does == Does::kTurnsAway) discovery.serve = [](const Peer::Taken& taken) { taken.Answer(503, ""); };
+    const nlohmann::json config = {{"seed", "1f"},
+                                   {"known", List(1, true, {Member("h0", host.address())})},
+                                   {"settings", TestSettings()}};
+    const File file(config.dump());
+    constexpr int kProcesses = 10, kReady = 9;
+    std::vector<std::unique_ptr<Process>> processes;
+    std::vector<tcp::endpoint> waiting;
+    const auto begun = std::chrono::steady_clock::now();
+    for (int i = 0; i < kProcesses; ++i) {
+      waiting.push_back(Loopback(FreePortNumber()));
+      processes.push_back(std::make_unique<Process>(std::vector<std::pair<std::string, std::string>>{
+          {"NODE_CONFIG", file.path}, {"NODE_LISTEN", ToText(waiting.back())}, {"NODE_DISCOVERY", at}}));
+    }
+    EXPECT_TRUE(RunUntil(io, [&] {
+      std::erase_if(waiting, [&](const tcp::endpoint& listen) {
+        error_code ec;
+        tcp::socket probe(io);
+        probe.connect(listen, ec);
+        if (ec) return false;
+        Client client(io, listen);
+        client.Send("GET /up HTTP/1.1\r\n\r\n");
+        return client.Await().result() == http::status::ok;
+      });
+      return waiting.size() <= kProcesses - kReady;
+    }));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(10));
+  }
+}
+
 // Guards a changed configuration: SIGHUP ends nothing, a broken file changes nothing and is told in one line,
 // and the file's discovery wins over the environment's, which still names the old one.
 TEST(Program, FollowsItsConfigurationOnSighup) {
