Take back the hold after a stop, whose test passed without it too; signals and readiness

With its condition put to false DiscoveryNews.ThatCameDuringAStopIsReadBeforeAnythingIsSent still passed, so the bad order was not forced and nothing showed the fault. Program.EndsCleanlyWhateverSignalsCome and IsReadyInTimeWhateverDiscoveryDoes stay: they hold the terms on ends and on readiness.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -13,9 +13,6 @@
 constexpr Millis kMargin = 10;     // before a client leaves: answers travel, and timers may come late
 constexpr Millis kLastMargin = 4;  // before it leaves: what the policy has not answered by then is failed
 constexpr Millis kTimerAgain = 10;
-constexpr Millis kStopped =
-    500;  // without a turn of the module's timers: this process was stopped, or starved
-constexpr Millis kCatchUp = 20;    // what came in meanwhile has been read by then
 constexpr double kMostLoad = 1e6;  // no host can report more of anything
 
 // "inflight=7,util=0.61" in the order of the settings' fields; what is missing is not a number. A report that
@@ -246,7 +243,6 @@
 void Gateway::Handle(const Event& event) {
   const std::string id = RequestOf(event);
   std::vector<Action> actions;
-  if (std::holds_alternative<TimerDue>(event)) turned_at_ = clock_.Now();
   if (const auto* const told = std::get_if<Outcome>(&event)) {
     Outcome outcome = *told;
     const Flow* const flow = Find(id);
@@ -290,29 +286,8 @@
   errand.done = [this, id = send.request, index](Result result, Reply reply) {
     Ended(id, index, result, std::move(reply));
   };
-  // What was decided just now rests on what was known before the stop: news of hosts may lie unread behind
-  // it.
-  if (turned_at_ > 0 && now - turned_at_ > kStopped) {
-    flow->attempts[index].held = clock_.After(kCatchUp, [this, id = send.request, index, host = send.server,
-                                                         held = std::make_shared<Errand>(std::move(errand))] {
-      StartHeld(id, index, host, std::move(*held));
-    });
-    return;
-  }
-  Start(send.request, index, send.server, std::move(errand));
-}
-
-void Gateway::Start(const std::string& id, std::size_t index, const std::string& host, Errand errand) {
-  const std::uint64_t number = upstream_.Start(host, std::move(errand));
-  if (Flow* const still = Find(id)) still->attempts[index].number = number;
-}
-
-void Gateway::StartHeld(const std::string& id, std::size_t index, const std::string& host, Errand errand) {
-  Flow* const flow = Find(id);
-  if (flow == nullptr) return;
-  const auto ended = std::move(flow->attempts[index].held);  // it is being called: its end waits
-  if (flow->answered || !policy_.may_use(host)) return Ended(id, index, Result::kNotSent, {});
-  Start(id, index, host, std::move(errand));
+  const std::uint64_t number = upstream_.Start(send.server, std::move(errand));
+  if (Flow* const still = Find(send.request)) still->attempts[index].number = number;
 }
 
 void Gateway::Do(const Refuse& refuse) {
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -58,7 +58,6 @@
     Millis sent = 0;
     std::uint64_t number = 0;  // the upstream's
     bool out = true;
-    std::unique_ptr<Clock::Wait> held = nullptr;  // until what came in while the process was stopped is read
   };
   // A client's request, until it is answered and all its attempts have ended.
   struct Flow {
@@ -87,8 +86,6 @@
 
   void Handle(const Event& event);
   void Do(const Send& send);
-  void Start(const std::string& id, std::size_t index, const std::string& host, Errand errand);
-  void StartHeld(const std::string& id, std::size_t index, const std::string& host, Errand errand);
   void Do(const Refuse& refuse);
   void Do(const Fail& fail);
   void Do(const Cancel& cancel);
@@ -113,7 +110,6 @@
   std::deque<Event> events_;
   bool reporting_ = false;
   bool ending_ = false;
-  Millis turned_at_ = 0;  // when the module's timers last had their turn
 };
 
 }  // namespace meadowyard
