Keep the ports of the lab's stand-ins while they are down, and tell why a fleet ended

Cause of the second, by reading: src/lab/host.cpp listened again, after hall_dead, at an ephemeral port that it had closed; any outgoing connection may have it by then, bind throws, and fleet.cpp's catch wrote the reason to a descriptor that the unwinding had closed, so nobody was told. Of the first: gateways.cpp took a stopped gateway's end from the plan (at + for_s), not from when SIGCONT was sent; on a busy machine requests after the plan's end were judged. By reading; not reproduced.

--- a/src/lab/discovery_stand_in.cpp
+++ b/src/lab/discovery_stand_in.cpp
@@ -39,26 +39,20 @@
     : io_(io), spec_(spec), ledger_(ledger), seen_(std::move(seen)) {
   for (int g = 0; g < gateways; ++g) {
     doors_.push_back(std::make_unique<Door>(Door{tcp::acceptor(io), {}}));
-    places_.emplace_back(asio::ip::address_v4::loopback(), 0);
+    ports_.emplace_back(io);
     Listen(g);
   }
 }
 
 std::vector<std::string> DiscoveryStandIn::addresses() const {
   std::vector<std::string> all;
-  for (const auto& place : places_) all.push_back("127.0.0.1:" + std::to_string(place.port()));
+  for (const KeptPort& port : ports_) all.push_back("127.0.0.1:" + std::to_string(port.address().port()));
   return all;
 }
 
 void DiscoveryStandIn::Listen(int gateway) {
   auto& acceptor = doors_[static_cast<std::size_t>(gateway)]->acceptor;
-  auto& place = places_[static_cast<std::size_t>(gateway)];
-  acceptor = tcp::acceptor(io_);
-  acceptor.open(place.protocol());
-  acceptor.set_option(tcp::acceptor::reuse_address(true));
-  acceptor.bind(place);
-  acceptor.listen();
-  place = acceptor.local_endpoint();
+  acceptor = ports_[static_cast<std::size_t>(gateway)].Listen(io_);
   Accept(gateway);
 }
 
--- a/src/lab/discovery_stand_in.hpp
+++ b/src/lab/discovery_stand_in.hpp
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/kept_port.hpp"
 #include "lab/records.hpp"
 #include "lab/spec.hpp"
 #include "lab/stream.hpp"
@@ -71,7 +72,7 @@
   FleetLedger& ledger_;
   const Seen seen_;
   std::vector<std::unique_ptr<Door>> doors_;
-  std::vector<boost::asio::ip::tcp::endpoint> places_;
+  std::vector<KeptPort> ports_;
   std::map<int, Entry> entries_;  // by host
   std::set<std::shared_ptr<ServerStream>> streams_;
   std::list<Watch> watches_;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -325,6 +325,7 @@
 
 FleetLedger FromText(const std::string& text) {
   const json j = json::parse(text);
+  if (j.contains("error")) throw std::runtime_error("the fleet ended: " + j["error"].get<std::string>());
   FleetLedger l;
   l.hosts = j.at("hosts").get<std::vector<std::string>>();
   for (const json& e : j.at("executions")) {
@@ -359,7 +360,8 @@
                         {"peers", fleet.peers()}}
                            .dump() +
                        "\n");
-    asio::posix::stream_descriptor control(io, link);
+    // A descriptor of its own: what is thrown closes this one before the last word is written to the link.
+    asio::posix::stream_descriptor control(io, ::dup(link));
     std::string read;
     std::function<void()> listen = [&] {
       asio::async_read_until(control, asio::dynamic_buffer(read), '\n', [&](error_code ec, std::size_t n) {
--- a/src/lab/gateways.cpp
+++ b/src/lab/gateways.cpp
@@ -235,10 +235,12 @@
   }
   // Stopped, not dead: the front goes on sending to it, and what it wakes to is old news and overdue timers.
   if (trouble.kind == Trouble::Kind::kGatewayStall) {
+    const std::size_t outage = outages_.size();
     outages_.push_back({static_cast<int>(g), now, now + trouble.len, false});
     gateway.process->Signal(SIGSTOP);
-    return After(io, trouble.len, [this, g] {
+    return After(io, trouble.len, [this, g, outage] {
       if (all_[g].process && !all_[g].process->Ended()) all_[g].process->Signal(SIGCONT);
+      outages_[outage].to = Clock();  // a busy machine's timers come late, and it was stopped until now
     });
   }
   if (trouble.kind == Trouble::Kind::kGatewayRestart) {
--- a/src/lab/host.cpp
+++ b/src/lab/host.cpp
@@ -48,27 +48,22 @@
       ledger_(ledger),
       random_(seed, identity_.id),
       model_(identity_.kind),
+      port_(io),
       acceptor_(io),
-      address_(asio::ip::address_v4::loopback(), 0),
       timer_(io) {
   Listen();
 }
 
 void StandInHost::Listen() {
-  acceptor_ = tcp::acceptor(io_);
-  acceptor_.open(address_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address_);
-  address_ = acceptor_.local_endpoint();
-  acceptor_.listen(silent_ ? 0 : asio::socket_base::max_listen_connections);
+  acceptor_ = port_.Listen(io_, silent_ ? 0 : asio::socket_base::max_listen_connections);
   if (!silent_) return Accept();
   for (int i = 0; i < 3; ++i) {  // with its queue full, the kernel lets no connection come up
     fillers_.emplace_back(io_);
-    fillers_.back().open(address_.protocol());
+    fillers_.back().open(address().protocol());
     fillers_.back().non_blocking(true);
     // Not by the library: its connect would wait for what never comes up.
-    if (::connect(fillers_.back().native_handle(), address_.data(),
-                  static_cast<socklen_t>(address_.size())) == 0)
+    if (::connect(fillers_.back().native_handle(), address().data(),
+                  static_cast<socklen_t>(address().size())) == 0)
       continue;
   }
 }
--- a/src/lab/host.hpp
+++ b/src/lab/host.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "lab/host_model.hpp"
+#include "lab/kept_port.hpp"
 #include "lab/random.hpp"
 #include "lab/records.hpp"
 #include "lab/stream.hpp"
@@ -33,7 +34,7 @@
   ~StandInHost() { Vanish(true); }
 
   const Identity& identity() const { return identity_; }
-  boost::asio::ip::tcp::endpoint address() const { return address_; }
+  const boost::asio::ip::tcp::endpoint& address() const { return port_.address(); }
   bool up() const { return up_; }
   std::size_t connections() const { return streams_.size(); }
 
@@ -75,8 +76,8 @@
   FleetLedger& ledger_;
   Random random_;
   HostModel model_;
+  const KeptPort port_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::endpoint address_;
   std::vector<boost::asio::ip::tcp::socket> fillers_;  // take the places of a silent host's queue
   boost::asio::steady_timer timer_;
   Millis armed_ = 0;
