Look whether the client has left before each attempt is sent

Cause: idle clients hold the places, so others stand in the listener's queue with their request sent, give up and close. session.cpp:214 (Take) handed a request over as soon as its head was read, and leaving_.Begin looked for the close only in a later turn of the loop; on a resting connection to a host the request was written in that same turn (host_pool.cpp:64). A dial that came up in the turn of the close was written to as well (connection.cpp:166). The core now asks the front right before each send, and once a dial has come up, whether the client's end lies in the socket (POLLRDHUP, one call to the kernel an attempt). Tests: LeavesUnseen, 24 cases (in the queue, on a kept connection, beside a failed attempt, beside a dial; close, reset, half-close; with and without a further request). Without the look before a send 12 fail, without the one after a dial 6; the 6 beside a failed attempt pass without it too.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -93,6 +93,7 @@
   Flow& flow = flows_.try_emplace(request.id).first->second;
   flow.call = std::make_shared<const Call>(std::move(request.call));
   flow.answer = std::move(request.answer);
+  flow.gone = std::move(request.gone);
   flow.class_name = request.class_name;
   flow.rest = std::move(request.rest);
   flow.tunnel = request.tunnel;
@@ -260,6 +261,9 @@
 void Gateway::Do(const Send& send) {
   Flow* const flow = Find(send.request);
   const Millis now = clock_.Now();
+  // Its client's end may lie in the socket unread: what came first, a chance to send or that end, is no
+  // matter.
+  if (flow != nullptr && !flow->answered && !Wanted(flow)) Left(send.request);
   // A request that is over, or one attempt too many, is never sent, whatever was decided a moment ago.
   if (flow == nullptr || flow->answered ||
       static_cast<int>(flow->attempts.size()) >= settings_.max_attempts) {
@@ -274,6 +278,7 @@
   errand.call = flow->call;
   errand.rest = flow->rest;
   errand.deadline = until;
+  errand.wanted = [this, id = send.request] { return Wanted(Find(id)); };
   errand.written = [this, name = flow->class_name] { figures_.Sent(name); };
   errand.begun = [this, id = send.request, index](Reply reply, std::shared_ptr<BodySource> rest) {
     Begun(id, index, std::move(reply), std::move(rest));
@@ -323,6 +328,11 @@
   return found == flows_.end() ? nullptr : &found->second;
 }
 
+// Somebody waits for its answer.
+bool Gateway::Wanted(const Flow* flow) const {
+  return flow != nullptr && !flow->answered && !(flow->gone && flow->gone());
+}
+
 void Gateway::Answer(Flow& flow, Figures::End end, meadowyard::Answer answer) {
   if (flow.answered) return;
   End(flow, end);
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -64,6 +64,7 @@
     std::shared_ptr<const Call> call;
     std::shared_ptr<BodySource> rest;  // of its body, until that is whole
     std::function<void(meadowyard::Answer)> answer;
+    std::function<bool()> gone;  // its client has left, told or not
     std::string class_name;
     Millis allowed = 0;    // from when it is whole
     Millis whole_at = 0;   // 0: it is not whole yet
@@ -94,6 +95,7 @@
   void Do(const Log& log);
 
   Flow* Find(const std::string& id);
+  bool Wanted(const Flow* flow) const;
   void Answer(Flow& flow, Figures::End end, meadowyard::Answer answer);
   // Every request that was taken ends here, and is counted here.
   void End(Flow& flow, Figures::End end);
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -97,6 +97,7 @@
   Millis allowed = 0;                  // how long the client waits, from when it sent it
   std::shared_ptr<BodySource> rest;    // of a body that is not whole yet; null if it is
   std::function<void(Answer)> answer;  // to be called once; what follows is dropped
+  std::function<bool()> gone;          // whether its client has left, though nobody was told yet; may be null
 };
 
 }  // namespace meadowyard
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -14,8 +14,10 @@
 // One attempt: what is sent, and who is told of its course.
 struct Errand {
   std::shared_ptr<const Call> call;
-  std::shared_ptr<BodySource> rest;       // of its body, where that is still coming
-  Millis deadline = 0;                    // of the whole attempt; with a rest, as long after that is whole
+  std::shared_ptr<BodySource> rest;  // of its body, where that is still coming
+  Millis deadline = 0;               // of the whole attempt; with a rest, as long after that is whole
+  // Asked once the way to the host is open: whether anyone still waits for the answer.
+  std::function<bool()> wanted = [] { return true; };
   std::function<void()> written = [] {};  // it was written whole
   // Its answer is a long one: the head with the first piece of the body, and the rest. `done` still follows.
   std::function<void(Reply, std::shared_ptr<BodySource>)> begun;
--- a/src/fronts/http/leave_watch.cpp
+++ b/src/fronts/http/leave_watch.cpp
@@ -13,13 +13,13 @@
 constexpr std::size_t kMostReadAhead = 4096;  // of what follows a request that waits
 constexpr Millis kGlanceEvery = 50;  // half of the time in which a client that has left must be noticed
 
+}  // namespace
+
 bool HasEnded(int socket) {
   pollfd asked = {socket, POLLRDHUP, 0};
   return ::poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
-}  // namespace
-
 void LeaveWatch::Begin(bool reads) {
   End();
   if (!reads) return Glance();
--- a/src/fronts/http/leave_watch.hpp
+++ b/src/fronts/http/leave_watch.hpp
@@ -15,6 +15,9 @@
 
 namespace meadowyard {
 
+// The other side has closed, half-closed or reset the connection, whatever lies unread before that.
+bool HasEnded(int socket);
+
 // The end of what a client sends lies behind all that it sent. So what comes is read on, into the head's
 // buffer and up to a bound; beyond that, and while a body is held back, the kernel is asked every now and
 // then whether the end has come. Why a half-close is an end: docs/design/gateway.md.
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -181,6 +181,11 @@
     answer.rest->Abandon();
     answer.passed(false);
   };
+  request.gone = [weak = weak_from_this(), turn = turn_] {
+    const auto self = weak.lock();
+    return !self || self->turn_ != turn || self->phase_ != Phase::kWaiting ||
+           HasEnded(self->socket_.native_handle());
+  };
   id_ = request.id;
   Enter(Phase::kWaiting);
   if (!reader_.done()) {
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -163,8 +163,8 @@
 
 void HostPool::Connection::Dialled(error_code ec) {
   if (ec) return End(Result::kConnectFailed);
-  // The dial took time: the host may have begun to drain, or may have moved.
-  if (!pool_.MayUse(host_, address_)) return End(Result::kNotSent);
+  // The dial took time: the host may have begun to drain, or may have moved, or the client may have left.
+  if (!pool_.MayUse(host_, address_) || !job_->wanted()) return End(Result::kNotSent);
   Arm(job_->deadline);
   Write();
 }
