Send nothing by an old list when a stopped process goes on

Seen, by the test: a process stopped for 1.1 s (SIGSTOP, SIGCONT) sent 8 of 16 requests to a host that discovery had as draining all that time; the requests lie in the sockets, and the news is not even there where no call was waiting for it. After half a second and more without a turn of the loop, the first send has discovery asked anew; sends wait in the pool until it has answered, failed, or 500 ms are over, and are looked at again then (host, client, deadline). A call that was written after the pause counts. src/app/pause_watch, HostPool::Resume, Discovery::AskAnew. Program.SendsNothingByAnOldListWhenItGoesOnAfterAStop: with the pause never found the case 'the news was not asked for yet' fails; 'the news waits unread' passes without it, too.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -57,8 +57,10 @@
       edge_file_(std::move(edge)),
       others_(state ? state->descriptors : 0),
       budget_(ShareOut(MeansOf(config, edge_file_.get()), others_)),
+      pause_(io, {[this](Millis since) { return discovery_.AskAnew(since); }, [this] { hosts_.Resume(); }}),
       hosts_(io, {config.dial_timeout, config.idle_timeout, budget_.host_connections},
-             {[this](const std::string& host) { return core_.policy().may_use(host); }}),
+             {[this](const std::string& host) { return core_.policy().may_use(host); },
+              [this] { return pause_.Current(); }}),
       dialer_(io, {config.dial_timeout, 0},
               [this](const std::string& host) { return core_.policy().may_use(host); }),
       upstream_(hosts_, dialer_),
@@ -160,6 +162,7 @@
 void Service::ToldByDiscovery(const HostList& list) {
   Told(list);
   peers_.Told(list);
+  pause_.Heard();
 }
 
 HostList Service::WholeList() const {
@@ -273,6 +276,7 @@
 }
 
 void Service::ListFailed() {
+  pause_.Heard();
   peers_.Failed();
   core_.Report(ServerNews{ServerNews::Kind::kFailed, {}});
   if (settings_.ask_for_list) return;  // the policy says when to ask again
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "app/edge_service.hpp"
+#include "app/pause_watch.hpp"
 #include "app/peer_service.hpp"
 #include "config/config.hpp"
 #include "core/budget.hpp"
@@ -96,6 +97,7 @@
   int subset_ = 0;  // hosts that each gateway uses
   Locality locality_;
   Budget budget_;
+  PauseWatch pause_;
   HostPool hosts_;
   TunnelDialer dialer_;
   SplitUpstream upstream_;
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -136,6 +136,15 @@
   Ask();
 }
 
+bool Discovery::AskAnew(Millis since) {
+  if (!watching_) return false;
+  if (!connected_ || connected_at_ > since) return true;  // the call has yet to be written, or just was
+  ++moves_;
+  Drop();
+  Ask();
+  return true;
+}
+
 void Discovery::Rest() {
   ++moves_;
   Drop();
@@ -163,6 +172,7 @@
     if (call != call_) return;
     if (ec) return Fail(call);
     connected_ = true;
+    connected_at_ = Now();
     error_code ignored;
     socket->set_option(tcp::no_delay(true), ignored);
     Expect(call, kFirstAnswer);
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -52,6 +52,9 @@
   // for.
   void Move(const boost::asio::ip::tcp::endpoint& address);
 
+  // Asks anew from the last revision known, on a connection that came up after `since`, whatever the call
+  // that is on would bring, and when. False: nothing is watched here.
+  bool AskAnew(Millis since);
   // Ends the watch, if one is on, without a word; Watch() begins it again.
   void Rest();
   // The list is known up to here from elsewhere.
@@ -77,6 +80,7 @@
   const Handlers handlers_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // always open; kept between the calls of a watch
   bool connected_ = false;
+  Millis connected_at_ = 0;
   std::shared_ptr<Call> call_;  // the one that is on; results of others are dropped
   std::uint64_t moves_ = 0;
   boost::asio::steady_timer pause_;
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -83,6 +83,10 @@
   Write();
 }
 
+void HostPool::Connection::Resume() {
+  if (open_ && job_) Dialled({});
+}
+
 bool HostPool::Connection::Fresh() {
   char byte = 0;
   return open_ && !reader_.Unasked() &&
@@ -163,6 +167,7 @@
 
 void HostPool::Connection::Dialled(error_code ec) {
   if (ec) return End(Result::kConnectFailed);
+  if (!pool_.handlers_.current()) return pool_.dialled_.push_back(shared_from_this());
   // The dial took time: the host may have begun to drain, or may have moved, or the client may have left.
   if (!pool_.MayUse(host_, address_) || !job_->wanted()) return End(Result::kNotSent);
   Arm(job_->deadline);
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -31,6 +31,8 @@
   bool Pass();
   void Dial(Job job);
   void Run(Job job);
+  // The list is current: goes on from where the dial came up.
+  void Resume();
   // Whether the host has neither closed an idle connection nor sent anything on it. The pending wait may not
   // have been told yet, so the socket itself is asked.
   bool Fresh();
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -47,10 +47,39 @@
 
 std::uint64_t HostPool::Start(const std::string& host, Errand errand) {
   const std::uint64_t attempt = next_attempt_++;
+  if (handlers_.current()) {
+    Begin(attempt, host, std::move(errand));
+  } else {
+    waiting_.emplace(attempt, Waiting{host, std::move(errand)});
+  }
+  return attempt;
+}
+
+void HostPool::Resume() {
+  while (!waiting_.empty()) {  // whoever is told of one may end another
+    auto next = waiting_.extract(waiting_.begin());
+    auto& [host, errand] = next.mapped();
+    if (handlers_.may_use(host) && errand.wanted()) {
+      Begin(next.key(), host, std::move(errand));
+    } else {
+      errand.done(Result::kNotSent, {});
+    }
+  }
+  for (const auto& connection : std::exchange(dialled_, {})) connection->Resume();
+}
+
+bool HostPool::EndWaiting(std::uint64_t attempt, Result result) {
+  const auto waiting = waiting_.extract(attempt);
+  if (waiting.empty()) return false;
+  waiting.mapped().errand.done(result, {});
+  return true;
+}
+
+void HostPool::Begin(std::uint64_t attempt, const std::string& host, Errand errand) {
   const auto found = hosts_.find(host);
   if (found == hosts_.end() || Now() >= errand.deadline) {
     errand.done(Result::kNotSent, {});
-    return attempt;
+    return;
   }
   const Millis patience = errand.deadline - Now();
   Connection::Job job{std::move(errand), attempt, patience};
@@ -64,13 +93,13 @@
     end = idle.erase(end);
     if (connection->Fresh()) {
       connection->Run(std::move(job));
-      return attempt;
+      return;
     }
     connection->Close();
   }
   if (connections_ >= limits_.connections && !EvictIdle()) {
     job.done(Result::kNotSent, {});
-    return attempt;
+    return;
   }
   const auto connection = std::make_shared<Connection>(*this, host, found->second.address);
   // Other processes of the machine, or clients, may have taken the descriptors that were reckoned with.
@@ -80,10 +109,10 @@
     connection->Close();
     job.done(Result::kNotSent, {});
   }
-  return attempt;
 }
 
 void HostPool::Cancel(std::uint64_t attempt) {
+  if (EndWaiting(attempt, Result::kCancelled)) return;
   const auto found = active_.find(attempt);
   if (found == active_.end()) return;
   const auto connection = found->second;  // End takes it out of the map
@@ -91,6 +120,7 @@
 }
 
 void HostPool::Withdraw(std::uint64_t attempt) {
+  if (EndWaiting(attempt, Result::kNotSent)) return;
   const auto found = active_.find(attempt);
   if (found == active_.end() || found->second->SentWhole()) return;
   const auto connection = found->second;
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -31,6 +31,8 @@
   };
   struct Handlers {
     std::function<bool(const std::string& host)> may_use;  // asked again once a dial has taken its time
+    // Whether the list of hosts is current; while it isn't nothing is sent, until Resume.
+    std::function<bool()> current = [] { return true; };
   };
   HostPool(boost::asio::io_context& io, Limits limits, Handlers handlers);
 
@@ -47,6 +49,8 @@
   // Ends an attempt that is still out, with kCancelled. Its connection is closed.
   void Cancel(std::uint64_t attempt) override;
   void Withdraw(std::uint64_t attempt) override;
+  // Sends what waited for the list.
+  void Resume();
 
   // Idle connections, those that are now and those that will be, go to `pass` instead of back to the pool;
   // what it doesn't take is kept. Null: they are kept again.
@@ -67,6 +71,12 @@
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
   };
 
+  struct Waiting {
+    std::string host;
+    Errand errand;
+  };
+  void Begin(std::uint64_t attempt, const std::string& host, Errand errand);
+  bool EndWaiting(std::uint64_t attempt, Result result);
   void CloseIdle(HostState& host);
   bool EvictIdle();
   bool MayUse(const std::string& host, const boost::asio::ip::tcp::endpoint& address) const;
@@ -78,6 +88,9 @@
   Pass pass_;
   std::map<std::string, HostState> hosts_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Connection>> active_;  // by attempt
+  // What waits for the list: attempts not begun, and connections that have come up.
+  std::map<std::uint64_t, Waiting> waiting_;
+  std::vector<std::shared_ptr<Connection>> dialled_;
   std::size_t connections_ = 0;
   std::uint64_t next_attempt_ = 1;
 };
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -176,6 +176,53 @@
   }
 }
 
+// Guards hosts against a process that was stopped and goes on: requests came first and the news behind them,
+// or the news came when no call was there to bring it. Nothing goes to the host that leaves.
+TEST(Program, SendsNothingByAnOldListWhenItGoesOnAfterAStop) {
+  for (const bool asked : {true, false}) {
+    SCOPED_TRACE(asked ? "the news waits unread" : "the news was not asked for yet");
+    Service service;
+    auto version = service.Start();
+    ASSERT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() == 1; }));
+    const auto whole = [&](int revision, const char* phase) {
+      return List(revision, true,
+                  {Member("h0", service.hosts[0]->address(), phase),
+                   Member("h1", service.hosts[1]->address())})
+          .dump();
+    };
+    constexpr int kClients = 16;
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < kClients; ++i) {
+      clients.push_back(std::make_unique<Client>(service.io, service.listen));
+      clients.back()->Send("GET /up HTTP/1.1\r\n\r\n");
+      ASSERT_EQ(clients.back()->Await().result_int(), 200u);
+    }
+    ASSERT_EQ(kill(version.process->id(), SIGSTOP), 0);
+    for (auto& client : clients) client->Send(ApiCall("r" + std::to_string(&client - clients.data()), "pay"));
+    if (asked) {
+      const std::string news = whole(50, "draining");
+      error_code ec;
+      asio::write(service.discovery.requests.back().on->socket,
+                  asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(news.size()) +
+                               "\r\n\r\n" + news),
+                  ec);
+      ASSERT_FALSE(ec);
+    }
+    service.discovery.serve = [&](const Peer::Taken& call) {
+      if (call.http.target().find("after=50") == std::string::npos) call.Answer(200, whole(50, "draining"));
+    };
+    const auto told = std::chrono::steady_clock::now();
+    ASSERT_TRUE(RunUntil(service.io, [&] {
+      return std::chrono::steady_clock::now() - told > std::chrono::milliseconds(1100);
+    }));
+    ASSERT_EQ(service.Sent(0), 0u);
+    kill(version.process->id(), SIGCONT);
+    for (auto& client : clients) EXPECT_EQ(client->Await(2).result_int(), 200u);
+    EXPECT_EQ(service.Sent(0), 0u);
+    EXPECT_EQ(service.Sent(1), static_cast<std::size_t>(kClients));
+  }
+}
+
 // Guards a changed configuration: SIGHUP ends nothing, a broken file changes nothing and is told in one line,
 // and the file's discovery wins over the environment's, which still names the old one.
 TEST(Program, FollowsItsConfigurationOnSighup) {
