Ask the kernel of no connection but the one that is closed where places run out

Evict now ranks first and asks only those that would go. Two races came to light with it. A read that had ended and was yet to be told hid a whole request from whoever would close its connection (Gateway.MakesRoomWhenAllPlacesAreBusy, without an answer for two of four): bytes are now taken off the socket in the turn that uses them. And operators' spare descriptor was given away for a caller that had gone, and a client took it (admin_server.cpp:181; Exhaustion.OfDescriptors, no answer for 10 s). How long a request waited in the kernel's queue or behind a stopped loop is bounded now by when the queue was last empty and the loop last looked: a further attempt has only the time that its client surely still has.

--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -136,7 +136,7 @@
   bool finished = false;     // the request is over: by this outcome or before it
   Millis latency = 0;        // since the Send
   std::vector<double> load;  // the server's load report, as in Settings::report_fields; may be empty
-  bool spent = false;        // the gateway has no more of the request's body: it can't be sent again
+  bool spent = false;        // it can't be sent again: its body is gone here, or perhaps its client is
 };
 
 // A server is held by this many more requests (fewer, below 0) that another process's Policy sent.
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -99,6 +99,8 @@
   flow.tunnel = request.tunnel;
   flow.allowed = request.allowed;
   flow.leaves_at = request.received + request.allowed - kMargin;
+  flow.sure_until = flow.leaves_at;
+  if (request.sent_after > 0) flow.sure_until -= std::max(0.0, request.received - request.sent_after);
   const bool coming = flow.rest != nullptr;
   if (!coming) Count(request.id, flow);
   Report(Request{request.id, request.class_name, request.tenant, request.key, flow.leaves_at - clock_.Now(),
@@ -118,7 +120,7 @@
   if (flow == nullptr || flow->answered) return;
   flow->spent = true;  // its pieces went to a host as they came; the first one alone is still here
   flow->rest.reset();
-  flow->leaves_at = clock_.Now() + flow->allowed - kMargin;
+  flow->leaves_at = flow->sure_until = clock_.Now() + flow->allowed - kMargin;
   Count(id, *flow);
   Report(RequestWhole{id, flow->leaves_at - clock_.Now()});
 }
@@ -206,7 +208,7 @@
                   false,
                   clock_.Now() - std::max(ended.sent, std::min(flow->whole_at, clock_.Now())),
                   ParseLoad(reply.load_report, settings_.report_fields),
-                  flow->spent};
+                  flow->spent || clock_.Now() >= flow->sure_until};
   if (result == Result::kServed && !flow->answered) {
     Answer(
         *flow, Figures::End::kAnswered,
@@ -273,7 +275,10 @@
   }
   const std::size_t index = flow->attempts.size();
   flow->attempts.push_back({send.server, now});
-  const Millis until = send.timeout > 0 ? std::min(now + send.timeout, flow->leaves_at) : flow->leaves_at;
+  // A host is told no more time than is left to the client. Where it may have waited unread for longer than
+  // is known the first attempt has what it may have; a further one, what it surely has.
+  const Millis last = index == 0 ? flow->leaves_at : flow->sure_until;
+  const Millis until = send.timeout > 0 ? std::min(now + send.timeout, last) : last;
   Errand errand;
   errand.call = flow->call;
   errand.rest = flow->rest;
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -66,12 +66,13 @@
     std::function<void(meadowyard::Answer)> answer;
     std::function<bool()> gone;  // its client has left, told or not
     std::string class_name;
-    Millis allowed = 0;    // from when it is whole
-    Millis whole_at = 0;   // 0: it is not whole yet
-    bool counted = false;  // as taken
-    bool tunnel = false;   // its answer is an open way to a host
-    bool spent = false;    // pieces of its body are gone: it can't be sent again
-    Millis leaves_at = 0;  // by then the policy's answer must be under way
+    Millis allowed = 0;     // from when it is whole
+    Millis whole_at = 0;    // 0: it is not whole yet
+    bool counted = false;   // as taken
+    bool tunnel = false;    // its answer is an open way to a host
+    bool spent = false;     // pieces of its body are gone: it can't be sent again
+    Millis sure_until = 0;  // its client surely waits until then: for further attempts
+    Millis leaves_at = 0;   // by then the policy's answer must be under way
     bool answered = false;
     std::vector<Attempt> attempts;
     std::unique_ptr<Clock::Wait> overdue;
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -94,6 +94,7 @@
   bool tunnel = false;                 // its answer is an open way to a host
   std::string only;                    // the one host that it may go to; empty: any
   Millis received = 0;                 // when its last byte was read
+  Millis sent_after = 0;               // no sooner did it come; 0: as it was received
   Millis allowed = 0;                  // how long the client waits, from when it sent it
   std::shared_ptr<BodySource> rest;    // of a body that is not whole yet; null if it is
   std::function<void(Answer)> answer;  // to be called once; what follows is dropped
--- a/src/fronts/http/client_server.cpp
+++ b/src/fronts/http/client_server.cpp
@@ -3,7 +3,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -18,6 +20,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr Millis kSweepEvery = 200;
+constexpr Millis kTurn = 50;  // of the loop, where it isn't behind
+constexpr int kAcceptedInATurn = 16;
 constexpr Millis kAcceptAgain = 50;  // after an accept that failed, out of descriptors perhaps
 
 }  // namespace
@@ -47,16 +51,19 @@
 void ClientServer::Accept() {
   if (accepting_ || !acceptor_.is_open() || pass_ || !handlers_.room()) return;
   accepting_ = true;
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code ec) {
     accepting_ = false;
     if (!acceptor_.is_open()) return;
-    if (!ec) {
-      Accepted(std::move(socket));
+    if (ec == asio::error::operation_aborted) return Accept();  // does nothing while another process serves
+    if (std::exchange(queue_empty_, false)) queue_empty_at_ = std::max(queue_empty_at_, LookedAt());
+    for (int i = 0; i < kAcceptedInATurn && !ec; ++i) {
       // With all places taken by requests under way, further clients wait in the kernel's queue.
-      if (!Full() || Evict()) Accept();
-      return;
+      if (Full() && !Evict()) return;
+      tcp::socket socket = acceptor_.accept(ec);
+      if (!ec) Accepted(std::move(socket));
     }
-    if (ec == asio::error::operation_aborted) return Accept();  // does nothing while another process serves
+    if (ec == asio::error::would_block) queue_empty_ = true, queue_empty_at_ = Now();
+    if (!ec || queue_empty_) return Accept();
     if (ec == asio::error::no_descriptors) Evict();
     accept_again_.expires_after(Span(kAcceptAgain));  // at once would spin
     accept_again_.async_wait([this](error_code wait_ec) {
@@ -65,8 +72,14 @@
   });
 }
 
+// By then the loop had looked at all sockets: no sooner came what lies in one that it finds now.
+Millis ClientServer::LookedAt() const {
+  const Millis now = Now();
+  return now - swept_at_ > kSweepEvery + kTurn ? swept_at_ : now - kTurn;
+}
+
 void ClientServer::Accepted(tcp::socket socket) {
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  const auto session = std::make_shared<Session>(*this, std::move(socket), queue_empty_at_);
   sessions_.insert(session);
   session->Begin();
 }
@@ -88,18 +101,34 @@
 // there is still room none is closed that has begun a request, or is about to.
 bool ClientServer::Evict(bool idle_only) {
   const Millis now = Now();
-  std::shared_ptr<Session> worst;
-  std::pair<Standing, Millis> least;
+  struct Candidate {
+    Standing standing;
+    Millis since;
+    Session* session;
+  };
+  std::vector<Candidate> all;
+  all.reserve(sessions_.size());
   for (const auto& session : sessions_) {
-    const std::pair rank(session->standing(now), session->since());
-    if (rank.first == Standing::kKept || (worst && least <= rank) || !session->MayEvict()) continue;
-    if (idle_only && (rank.first == Standing::kHalfRequest || rank.first == Standing::kNew)) continue;
-    if (idle_only && rank.first == Standing::kBetween && !session->Rested(now)) continue;
-    worst = session;
-    least = rank;
+    const Candidate c{session->standing(now), session->since(), session.get()};
+    if (c.standing == Standing::kKept) continue;
+    if (idle_only && (c.standing == Standing::kHalfRequest || c.standing == Standing::kNew)) continue;
+    all.push_back(c);
+  }
+  // The socket is asked about those alone that would go: a call to the kernel for each of hundreds, at each
+  // connection of a crowd, took more of the core than all else.
+  const auto keep = [](const Candidate& a, const Candidate& b) {
+    return std::tie(a.standing, a.since) > std::tie(b.standing, b.since);
+  };
+  std::make_heap(all.begin(), all.end(), keep);
+  for (; !all.empty(); all.pop_back()) {
+    std::pop_heap(all.begin(), all.end(), keep);
+    Session& worst = *all.back().session;
+    const bool arrived = !idle_only || all.back().standing != Standing::kBetween || worst.Arrived(now);
+    if (!arrived || !worst.MayEvict()) continue;
+    worst.Close();
+    return true;
   }
-  if (worst) worst->Close();
-  return worst != nullptr;
+  return false;
 }
 
 bool ClientServer::Reserve(std::uint64_t bytes, std::size_t& held) {
@@ -110,6 +139,7 @@
 }
 
 void ClientServer::Sweep() {
+  swept_at_ = Now();
   sweep_.expires_after(Span(kSweepEvery));  // first: the next one comes whatever this one meets
   sweep_.async_wait([this](error_code ec) {
     if (!ec) Sweep();
@@ -121,12 +151,12 @@
   }
   while ((!handlers_.room() || Crowded()) && Evict(/*idle_only=*/true)) {
   }
-  if (!Full()) Accept();  // it may have been given up for want of memory
+  Accept();  // it may have been given up for want of memory, or of a place that can be had by now
 }
 
 void ClientServer::StopListening() {
   // Whoever stands in the queue has connected, and may have sent a request: to close on it would lose that.
-  for (error_code ec; !Full();) {
+  for (error_code ec; !Full() || Evict();) {
     tcp::socket socket = acceptor_.accept(ec);
     if (ec) break;
     Accepted(std::move(socket));
@@ -168,7 +198,7 @@
     return;
   }
   if (Full()) Evict();
-  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  const auto session = std::make_shared<Session>(*this, std::move(socket), Now());
   sessions_.insert(session);
   session->Adopted(unread);
 }
--- a/src/fronts/http/client_server.hpp
+++ b/src/fronts/http/client_server.hpp
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "core/clock.hpp"
 #include "core/message.hpp"
 #include "meadowyard/policy.hpp"
 
@@ -91,6 +92,7 @@
   // Counts a body that is to be read; false if there is no room for it.
   bool Reserve(std::uint64_t bytes, std::size_t& held);
   void Sweep();
+  Millis LookedAt() const;
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   ClientLimits limits_;
@@ -100,6 +102,9 @@
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   boost::asio::steady_timer sweep_;
   boost::asio::steady_timer accept_again_;
+  Millis queue_empty_at_ = Now();  // who connects stands in the kernel's queue, which was empty then
+  bool queue_empty_ = true;        // and has been since, as far as is known
+  Millis swept_at_ = Now();
   bool accepting_ = false;
   bool draining_ = false;
   std::function<void()> stopped_;
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -29,11 +29,15 @@
 
   // For the next request on the connection.
   void Restart();
-  // `then(error)`; `owner` is kept until it was called.
+  // `then(error)`, never before this returns; `owner` is kept until it was called. `at_once`: it is likely
+  // there.
   template <typename Owner, typename Then>
-  void ReadHead(Owner owner, Then then) {
-    boost::beast::http::async_read_header(
-        socket_, buffer_, *parser_, [owner = std::move(owner), then](Error ec, std::size_t) { then(ec); });
+  void ReadHead(Owner owner, Then then, bool at_once) {
+    Read(std::move(owner), std::move(then), at_once || buffer_.size() > 0, [this] {
+      Error ec;
+      boost::beast::http::read_header(socket_, buffer_, *parser_, ec);
+      return ec;
+    });
   }
   // A piece of the body: `then(error, piece)`.
   template <typename Owner, typename Then>
@@ -42,12 +46,15 @@
     const std::uint64_t left = parser_->content_length_remaining().value_or(kPiece);
     piece_.resize(static_cast<std::size_t>(std::clamp<std::uint64_t>(left, 1, kPiece)));
     parser_->get().body() = {piece_.data(), piece_.size(), true};
-    boost::beast::http::async_read_some(
-        socket_, buffer_, *parser_, [this, owner = std::move(owner), then](Error ec, std::size_t) {
-          if (ec == boost::beast::http::error::need_buffer) ec = {};
-          const auto& body = parser_->get().body();
-          then(ec, std::string_view(piece_.data(), piece_.empty() ? 0 : piece_.size() - body.size));
-        });
+    const auto told = [this, then = std::move(then)](Error ec) {
+      const auto& body = parser_->get().body();
+      then(ec, std::string_view(piece_.data(), piece_.empty() ? 0 : piece_.size() - body.size));
+    };
+    Read(std::move(owner), told, buffer_.size() > 0, [this] {
+      Error ec;
+      boost::beast::http::read_some(socket_, buffer_, *parser_, ec);
+      return ec == boost::beast::http::error::need_buffer ? Error() : ec;
+    });
   }
 
   const auto& head() const { return parser_->get(); }
@@ -64,6 +71,25 @@
   Error ReadAhead(std::size_t most);
 
  private:
+  // Bytes are taken off the socket in the turn that uses them: until then they lie there, where whoever would
+  // close the connection finds them. A read that had ended, and had yet to be told, would hide them.
+  template <typename Owner, typename Then, typename Some>
+  void Read(Owner owner, Then then, bool at_once, Some some) {
+    if (at_once) {
+      const Error ec = some();
+      if (ec != boost::asio::error::would_block) {
+        boost::asio::post(socket_.get_executor(), [owner = std::move(owner), then, ec] { then(ec); });
+        return;
+      }
+    }
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [this, owner = std::move(owner), then, some](Error ec) mutable {
+                         if (!ec) ec = some();
+                         if (ec != boost::asio::error::would_block) return then(ec);
+                         Read(std::move(owner), std::move(then), false, std::move(some));
+                       });
+  }
+
   boost::asio::ip::tcp::socket& socket_;
   boost::beast::flat_buffer buffer_{kMostReadBuffer};
   std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> parser_;
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -17,12 +17,13 @@
 
 }  // namespace
 
-ClientServer::Session::Session(ClientServer& server, tcp::socket socket)
+ClientServer::Session::Session(ClientServer& server, tcp::socket socket, Millis after)
     : server_(server),
       socket_(std::move(socket)),
       reader_(socket_),
       writer_(
           socket_, [this] { return shared_from_this(); }, [this](AnswerWriter::End end) { Written(end); }),
+      after_(after),
       leaving_(server.io_, socket_, reader_,
                {[this] { return shared_from_this(); },
                 [this] {
@@ -53,13 +54,14 @@
   return phase_ == Phase::kReading && !reader_.Begun() && socket_.available(ec) == 0;
 }
 
-bool ClientServer::Session::Rested(Millis now) {
-  return Idle() && (answered_ == 0 || now - since_ >= server_.limits_.arrives);
+bool ClientServer::Session::Arrived(Millis now) const {
+  return answered_ == 0 || now - since_ >= server_.limits_.arrives;
 }
 
 ClientServer::Standing ClientServer::Session::standing(Millis now) const {
   if (phase_ == Phase::kLingering) return Standing::kTold;
-  if (phase_ != Phase::kReading || (reader_.Begun() && answered_ > 0)) return Standing::kKept;
+  const bool whole = in_body_ ? reader_.done() : reader_.head_done();  // about to be told
+  if (phase_ != Phase::kReading || whole || (reader_.Begun() && answered_ > 0)) return Standing::kKept;
   if (answered_ > 0) return Standing::kBetween;
   if (now - since_ < server_.limits_.arrival) return Standing::kNew;
   return reader_.Begun() ? Standing::kHalfRequest : Standing::kSilent;
@@ -110,10 +112,18 @@
   begun_at_ = 0;
 }
 
+// When the request that was just read may have been there at the earliest: it waits in the kernel for a
+// place, and for a loop that is behind.
+Millis ClientServer::Session::CameAfter() const {
+  const Millis looked = server_.LookedAt();
+  return looked > since_ ? looked : answered_ == 0 ? after_ : since_;
+}
+
 void ClientServer::Session::ReadHead() {
-  reader_.ReadHead(shared_from_this(), [this](Error ec) {
+  const auto read = [this](Error ec) {
     if (phase_ == Phase::kReading) HeadRead(ec);
-  });
+  };
+  reader_.ReadHead(shared_from_this(), read, /*at_once=*/answered_ == 0);
 }
 
 bool ClientServer::Session::HandedOver() {
@@ -174,6 +184,7 @@
   if (auto fault = Check(head, server_.handlers_.admits, request)) return Send(std::move(*fault));
   request.call.body = std::exchange(body_, {});
   request.received = at > 0 ? at : Now();
+  request.sent_after = at > 0 ? at : CameAfter();
   request.answer = [weak = weak_from_this(), turn = ++turn_](Answer answer) {
     const auto self = weak.lock();
     if (self && self->turn_ == turn && self->phase_ == Phase::kWaiting) return self->Reply(std::move(answer));
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -19,7 +19,8 @@
 // head's buffer and the rest in the socket. A client that leaves while it waits is noticed.
 class ClientServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(ClientServer& server, boost::asio::ip::tcp::socket socket);
+  // Nothing that lies in the socket came before `after`.
+  Session(ClientServer& server, boost::asio::ip::tcp::socket socket, Millis after);
 
   void Begin();
   // Goes on from what another process has read.
@@ -33,9 +34,10 @@
 
   // Between requests, with nothing unread: may be closed without losing anything that was taken.
   bool Idle();
-  // The same, and the last answer has had time to arrive: a request that crosses the close has the connection
-  // reset, which could take the answer with it.
-  bool Rested(Millis now);
+  // The last answer has had time to arrive: a request that crosses the close has the connection reset, which
+  // could take the answer with it.
+  bool Arrived(Millis now) const;
+  bool Rested(Millis now) { return Idle() && Arrived(now); }
   Millis since() const { return since_; }
   // Which to close first where places have run out; kKept may not be closed. One that has just connected gets
   // a moment for its first request to arrive: closed at once, it would only connect again.
@@ -48,6 +50,7 @@
   using Error = boost::system::error_code;
 
   void Enter(Phase phase);
+  Millis CameAfter() const;
   void ReadHead();
   void HeadRead(Error ec);
   void ReadBody();
@@ -75,6 +78,7 @@
   boost::asio::ip::tcp::socket socket_;
   RequestReader reader_;
   AnswerWriter writer_;
+  const Millis after_;  // what lay in the socket at first came later
   LeaveWatch leaving_;
   std::string body_;                // what was read of it before its request is taken
   std::shared_ptr<Upload> upload_;  // the rest of it
--- a/src/operations/admin_server.cpp
+++ b/src/operations/admin_server.cpp
@@ -173,7 +173,8 @@
       oldest->Close();
     }
     socket = acceptor_.accept(ec);
-    if (!ec) Take(std::move(socket));
+    if (!ec) return Take(std::move(socket));
+    KeepSpare();  // the caller had gone: back at once, before anything else takes it
   });
 }
 
