Hold sends after a stop until discovery has answered, not until a call fails

The call's time had run out while the loop stood still, and service.cpp (ListFailed) took that failure for the end of the wait. A timer of discovery that comes over 0.1 s late leaves 0.1 s more to read what lies in the socket (discovery.cpp, Expect).

--- a/src/app/pause_watch.hpp
+++ b/src/app/pause_watch.hpp
@@ -12,8 +12,8 @@
 
 // After a pause, clients' requests and the news of hosts lie side by side in sockets, and whichever is read
 // first is handled first; what discovery has learned since its last answer isn't even there. So the first
-// that would be sent has discovery asked anew, and nothing is sent until it has answered, or failed, or had
-// its time. The reasons are in docs/design/discovery.md.
+// that would be sent has discovery asked anew, and nothing is sent until it has answered, or had its time. A call
+// that fails is made again meanwhile: after a pause its time may have run out for no fault of discovery.
 class PauseWatch {
  public:
   struct Handlers {
@@ -25,7 +25,7 @@
 
   // Whether the list of hosts is no older than the last turn of the loop.
   bool Current();
-  // Discovery has answered, or failed.
+  // Discovery has answered.
   void Heard();
 
  private:
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -276,7 +276,6 @@
 }
 
 void Service::ListFailed() {
-  pause_.Heard();
   peers_.Failed();
   core_.Report(ServerNews{ServerNews::Kind::kFailed, {}});
   if (settings_.ask_for_list) return;  // the policy says when to ask again
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -21,6 +21,8 @@
 
 constexpr Millis kCallGap = 100;     // least time from call to call; the watch lapses after 200
 constexpr Millis kTimerEarly = 0.5;  // timers know no fractions of a microsecond
+constexpr Millis kTimerLate = 100;   // beyond it the loop stood still, or was far behind
+constexpr Millis kToRead = 100;      // what lies in the socket then
 constexpr std::size_t kMostList = 8 << 20;
 
 ServerState ToState(const std::string& phase) {
@@ -108,6 +110,7 @@
   }
   const Millis begun = Now();
   Millis due = 0;
+  bool spared = false;  // its time was over, but the loop had stood still
   asio::steady_timer timer;
   const std::optional<std::int64_t> after;  // changes are asked for from here; nothing: the whole list
   http::request<http::empty_body> request;
@@ -157,7 +160,11 @@
   call->timer.expires_after(Span(within));
   call->timer.async_wait([this, call](error_code ec) {
     // One that was due already when the call came on is told all the same.
-    if (!ec && Now() >= call->due - kTimerEarly) Fail(call);
+    if (ec || Now() < call->due - kTimerEarly) return;
+    // One that comes late tells of this process, not of discovery: the answer may lie in the socket, unread
+    // as the timer was.
+    if (Now() - call->due > kTimerLate && !std::exchange(call->spared, true)) return Expect(call, kToRead);
+    Fail(call);
   });
 }
 
