Write no repeat once its window is over, however late the connection came up

Seen, by the test: a further attempt of a keyed class was decided on within repeatWindowMs, its dial hung, and it was written 0.5 s after the window (Races.ADialThatComesUpAfterTheWindowForRepeatsIsNotWrittenTo; 0 requests asked for, 1 came). Cause: picker.hpp:29 asks for the window at the pick; connection.cpp asked after the dial for the server alone. Policy::may_use takes the request as well now, and says by Allowed whether it still may; the pool's wanted() asks it.

--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -322,7 +322,6 @@
   Policy(Settings settings, std::uint64_t seed);
   ~Policy();
   Policy(Policy&&) noexcept;
-  Policy& operator=(Policy&&) noexcept;
 
   // Handles one event at time `now`, which never runs backwards, and appends what is to be done
   // to `actions` (which is not cleared). Give it the server list first: nothing is sent before.
@@ -330,8 +329,9 @@
 
   // Whether a server is listed, was so lately, or is left out by hand.
   bool knows(const std::string& server) const;
-  // Whether anything new may go to a server: it is listed as up and not left out by hand.
-  bool may_use(const std::string& server) const;
+  // Whether anything new may go to a server: it is listed as up and not left out by hand. For a request that
+  // is on its way there, also whether it still may: a connection takes its time, and repeats have a window.
+  bool may_use(const std::string& server, const std::string& request = {}) const;
   // What a class's name stands for at the moment. kNoEffect: a class of this name takes no request made so.
   enum class Admission { kYes, kNoClass, kNoEffect };
   Admission admits(Millis now, const std::string& class_name, Effect effect) const;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -283,7 +283,9 @@
   errand.call = flow->call;
   errand.rest = flow->rest;
   errand.deadline = until;
-  errand.wanted = [this, id = send.request] { return Wanted(Find(id)); };
+  errand.wanted = [this, id = send.request, server = send.server] {
+    return Wanted(Find(id)) && policy_.may_use(server, id);
+  };
   errand.written = [this, name = flow->class_name] { figures_.Sent(name); };
   errand.begun = [this, id = send.request, index](Reply reply, std::shared_ptr<BodySource> rest) {
     Begun(id, index, std::move(reply), std::move(rest));
--- a/src/decision/picker.hpp
+++ b/src/decision/picker.hpp
@@ -25,7 +25,7 @@
   bool Allowed(const Flow& flow, const Backend& b) const {
     const ClassSettings& c = classes_[flow.cls].set;
     const Attempt* first = c.effect == Effect::kKeyed ? flow.FirstRun() : nullptr;
-    if (first == nullptr) return true;
+    if (first == nullptr || first->out) return true;  // none, or it is the one that is on its way
     if (now_ - first->sent >= c.repeat_window) return false;
     const Server& at = first->server->info;
     if (c.group == Group::kZone) return at.zone == b.info.zone;
@@ -58,8 +58,7 @@
       if (Ready(b, flow.in_share)) candidates_.push_back({0, &b});
     }
     if (candidates_.empty()) return trusted || !flow.attempts.empty() ? nullptr : trial;
-    // A hall that has gone fails one dial after another: the next try goes elsewhere, if there is an
-    // elsewhere.
+    // A zone that has gone fails one dial after another: the next try goes elsewhere, if there is another.
     if (last != nullptr && flow.attempts.back().unreached) {
       const auto there = std::partition(candidates_.begin(), candidates_.end(), [&](const auto& candidate) {
         return candidate.second->info.zone != last->info.zone;
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -41,9 +41,11 @@
   using State::Recall;
   using Zones::Look;
 
-  bool MayUse(const std::string& id) const {
+  bool MayUse(const std::string& id, const std::string& request) const {
     const auto found = servers_.find(id);
-    return found != servers_.end() && found->second.up;
+    const auto flow = flows_.find(request);
+    if (found == servers_.end() || !found->second.up) return false;
+    return flow == flows_.end() || Allowed(flow->second, found->second);
   }
 
   Admission Admits(Millis now, const std::string& name, Effect effect) {
@@ -312,14 +314,13 @@
     : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
 Policy::~Policy() = default;
 Policy::Policy(Policy&&) noexcept = default;
-Policy& Policy::operator=(Policy&&) noexcept = default;
 
 void Policy::handle(Millis now, const Event& event, std::vector<Action>& actions) {
   impl_->Handle(now, event, actions);
 }
 
 bool Policy::knows(const std::string& server) const { return impl_->Knows(server); }
-bool Policy::may_use(const std::string& server) const { return impl_->MayUse(server); }
+bool Policy::may_use(const std::string& s, const std::string& r) const { return impl_->MayUse(s, r); }
 Policy::Admission Policy::admits(Millis now, const std::string& class_name, Effect effect) const {
   return impl_->Admits(now, class_name, effect);
 }
--- a/src/simwire/wire.cpp
+++ b/src/simwire/wire.cpp
@@ -257,8 +257,7 @@
   const auto seed = Number<std::uint64_t>(Need(parts, 1, "nonce64"), "nonce64");
   policies_.erase(*at_);
   try {
-    Policy policy(ParseSettings(Parts(parts.begin() + 2, parts.end())), seed);
-    policies_.emplace(*at_, std::move(policy));
+    policies_.try_emplace(*at_, ParseSettings(Parts(parts.begin() + 2, parts.end())), seed);
   } catch (const std::invalid_argument& error) {
     throw WireError(std::string("settings that cannot work: ") + error.what());
   }
--- a/tests/race_test.cpp
+++ b/tests/race_test.cpp
@@ -134,6 +134,38 @@
   }
 }
 
+// Guards what drops repeats for a while: a further attempt that was decided on in that time, and whose
+// connection came up after it, is not made.
+TEST(Races, ADialThatComesUpAfterTheWindowForRepeatsIsNotWrittenTo) {
+  constexpr Millis kWindow = 500;  // a connection that is turned down once comes up a second later
+  auto settings = TestSettings();
+  settings["categories"][1]["repeatWindowMs"] = kWindow;
+  settings["categories"][1]["group"] = "all";
+  settings["limits"]["dialTimeoutMs"] = 20000.0;
+  World world(1, settings);
+  tcp::acceptor crowded(world.io, tcp::v4());
+  crowded.bind(Loopback());
+  crowded.listen(0);
+  tcp::socket fill(world.io);
+  fill.connect(crowded.local_endpoint());
+  const auto client = world.Connect();
+  client->Send(ApiCall("k1", "key", "9000m", "", "Idempotency-Key: k\r\n"));
+  ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+  world.Tell(50, {Member("h0", world.host().address()), Member("h1", crowded.local_endpoint())}, true);
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() >= 2; }));
+  const Millis reset_at = Now();
+  world.host().requests[0].on->Reset();
+  ASSERT_TRUE(world.Until([&] { return Now() - reset_at > kWindow; }));
+  ASSERT_TRUE(client->answers().empty()) << "it is to be tried again, and its dial hangs";
+  crowded.accept();  // the filling one: there is room now
+  tcp::socket dialled = crowded.accept();
+  EXPECT_GE(client->Await().result_int(), 500u);
+  dialled.non_blocking(true);
+  char byte = 0;
+  error_code ec;
+  EXPECT_EQ(dialled.read_some(asio::buffer(&byte, 1), ec), 0u) << "it was sent again";
+}
+
 // Guards against a write for a client that left while the host's connection was coming up.
 TEST(Races, ADialThatComesUpForNobodyIsNotWrittenTo) {
   asio::io_context io;
