--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -73,6 +73,29 @@
   EXPECT_EQ(world.discovery.requests[1].on, world.discovery.requests[0].on);
 }
 
+// Guards a discovery that answers against a loop that stands still when the time of a call runs out: the
+// answer lies in the socket, in more pieces than one turn reads.
+TEST(DiscoveryCall, ThatWasAnsweredIsKeptThoughItsTimerIsDue) {
+  constexpr Millis kStandsStill = 400;  // too short for a pause that has discovery asked anew
+  World world;
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+  const Millis asked_at = Now();
+  ASSERT_TRUE(world.Until([&] { return Now() - asked_at > kFirstAnswer - kStandsStill / 2; }));
+  std::vector<nlohmann::json> members;
+  for (int i = 0; i < 300; ++i) members.push_back(Member("m" + std::to_string(i), Loopback(9)));
+  const std::string body = List(42, true, members).dump();
+  error_code ec;
+  asio::write(
+      world.discovery.requests[0].on->socket,
+      asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body),
+      ec);
+  ASSERT_FALSE(ec);
+  std::this_thread::sleep_for(std::chrono::milliseconds(static_cast<int>(kStandsStill)));
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 2; }));
+  EXPECT_EQ(world.discovery.connections.size(), 1u);
+  EXPECT_NE(world.discovery.requests[1].http.target().find("after=42"), std::string::npos);
+}
+
 // Guards what is learned of hosts that leave against clients that hold every other descriptor: the next
 // connection's is there when the last one breaks, whoever takes all that are free just then.
 TEST(DiscoveryDial, HasADescriptorWhenThereIsNoneLeft) {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -177,10 +177,12 @@
 }
 
 // Guards hosts against a process that was stopped and goes on: requests came first and the news behind them,
-// or the news came when no call was there to bring it. Nothing goes to the host that leaves.
+// or the news came when no call was there to bring it, or the call that is made then fails. Nothing goes to
+// the host that leaves.
 TEST(Program, SendsNothingByAnOldListWhenItGoesOnAfterAStop) {
-  for (const bool asked : {true, false}) {
-    SCOPED_TRACE(asked ? "the news waits unread" : "the news was not asked for yet");
+  enum class News { kUnread, kNotAskedFor, kAtTheSecondCall };
+  for (const News where : {News::kUnread, News::kNotAskedFor, News::kAtTheSecondCall}) {
+    SCOPED_TRACE(static_cast<int>(where));
     Service service;
     auto version = service.Start();
     ASSERT_TRUE(RunUntil(service.io, [&] { return service.discovery.requests.size() == 1; }));
@@ -199,7 +201,7 @@
     }
     ASSERT_EQ(kill(version.process->id(), SIGSTOP), 0);
     for (auto& client : clients) client->Send(ApiCall("r" + std::to_string(&client - clients.data()), "pay"));
-    if (asked) {
+    if (where == News::kUnread) {
       const std::string news = whole(50, "draining");
       error_code ec;
       asio::write(service.discovery.requests.back().on->socket,
@@ -208,7 +210,9 @@
                   ec);
       ASSERT_FALSE(ec);
     }
+    bool fails = where == News::kAtTheSecondCall;
     service.discovery.serve = [&](const Peer::Taken& call) {
+      if (std::exchange(fails, false)) return call.on->Reset();
       if (call.http.target().find("after=50") == std::string::npos) call.Answer(200, whole(50, "draining"));
     };
     const auto told = std::chrono::steady_clock::now();
