--- a/src/app/pause_watch.cpp
+++ b/src/app/pause_watch.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Millis kTick = 200;
-constexpr Millis kPause = 700;   // with the tick due in it less than the 1 s that news may go unheeded
+constexpr Millis kPause = 700;    // with the tick due in it less than the 1 s that news may go unheeded
 constexpr Millis kEnough = 1000;  // that sends wait for discovery: it may be down, and hosts serve without it
 
 }  // namespace
--- a/src/app/pause_watch.hpp
+++ b/src/app/pause_watch.hpp
@@ -12,8 +12,8 @@
 
 // After a pause, clients' requests and the news of hosts lie side by side in sockets, and whichever is read
 // first is handled first; what discovery has learned since its last answer isn't even there. So the first
-// that would be sent has discovery asked anew, and nothing is sent until it has answered, or had its time. A call
-// that fails is made again meanwhile: after a pause its time may have run out for no fault of discovery.
+// that would be sent has discovery asked anew, and nothing is sent until it has answered, or had its time. A
+// call that fails is made again meanwhile: after a pause its time may have run out for no fault of discovery.
 class PauseWatch {
  public:
   struct Handlers {
