Force a request at a hand-over, SIGTERM beside the next version, and endless answers

Each passes with the program as it is, so these are cleared, not mended: Races.ARequestThatComesAsItsConnectionIsHandedOverIsReadByOne (five cases: nothing, all, half, half that was read, later), Program.EndsCleanlyThoughTheNextVersionAsksAtThatMoment (SIGSTOP holds SIGTERM and the next version's asking until both are there), Races.AnAnswerThatNeverEndsLeavesNobodyWaiting (head, interim answers, chunks, body).

--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -298,6 +298,49 @@
   EXPECT_EQ(service.Figures(third)["transactions"]["view"]["answered"], 1);
 }
 
+// Guards a planned end that comes while the next version asks to follow: both lie before the old process when
+// it goes on. What it had taken it answers, what comes on its connections and on new ones is served by one of
+// the two.
+TEST(Program, EndsCleanlyThoughTheNextVersionAsksAtThatMoment) {
+  Service service;
+  auto old = service.Start();
+  Client kept(service.io, service.listen), busy(service.io, service.listen);
+  kept.Send(ApiCall("k1"));
+  EXPECT_EQ(kept.Await().body(), "k1");
+  busy.Send(ApiCall("b1", "pay", "9000m", "", "Req-Key: keep\r\n"));
+  ASSERT_TRUE(RunUntil(service.io, [&] { return service.Sent(0) + service.Sent(1) == 2; }));
+  ASSERT_EQ(kill(old.process->id(), SIGSTOP), 0);
+  old.process->Terminate();
+  const std::string asks = service.folder + "/meadowyard-" + service.listen.address().to_string() + "-" +
+                           std::to_string(service.listen.port());
+  ASSERT_EQ(access(asks.c_str(), F_OK), 0) << asks;
+  // The next one is given its state as soon as the old one goes on, and waits for that until then.
+  asio::steady_timer goes_on(service.io, std::chrono::milliseconds(300));
+  goes_on.async_wait([&](error_code) { kill(old.process->id(), SIGCONT); });
+  auto next = service.Start();
+  for (const auto& host : service.hosts) {
+    for (const auto& taken : host->requests) {
+      if (taken.http["Req-Key"] == "keep") taken.Answer(200, "b1");
+    }
+  }
+  EXPECT_EQ(busy.Await().body(), "b1");
+  for (int i = 0; i < 20; ++i) {
+    Client fresh(service.io, service.listen);
+    fresh.Send(ApiCall("f" + std::to_string(i)));
+    EXPECT_EQ(fresh.Await().body(), "f" + std::to_string(i));
+  }
+  kept.Send(ApiCall("k2"));
+  EXPECT_TRUE(RunUntil(service.io, [&] { return kept.answers().size() == 2 || kept.ended(); }));
+  if (!kept.ended()) {
+    EXPECT_EQ(kept.Await(2).body(), "k2");
+  }
+  ASSERT_TRUE(RunUntil(service.io, [&] { return old.process->Ended(); }));
+  EXPECT_EQ(old.process->Wait(), 0) << old.process->Errors();
+  Client last(service.io, service.listen);
+  last.Send(ApiCall("last"));
+  EXPECT_EQ(last.Await().body(), "last");
+}
+
 // Guards operators during a change of version: what one process is told, both do.
 TEST(Program, TellsTheOtherVersionWhatOperatorsWant) {
   Service service;
--- a/tests/race_test.cpp
+++ b/tests/race_test.cpp
@@ -79,6 +79,96 @@
   EXPECT_TRUE(RunUntil(io, [&] { return done; }));
 }
 
+// Guards a request that comes in the very turn in which its connection goes to the next process: one of the
+// two reads it, and all of it.
+TEST(Races, ARequestThatComesAsItsConnectionIsHandedOverIsReadByOne) {
+  struct Case {
+    const char* name;
+    std::size_t before, after;  // bytes that come before the hand-over, and once it is on
+    bool seen, passed;          // the loop has run between them and the hand-over
+  };
+  const std::string text = ApiCall("r2");
+  const std::size_t all = text.size(), half = all / 2;
+  for (const Case& c : {Case{"nothing", 0, 0, true, true}, Case{"all of it", all, 0, false, true},
+                        Case{"half of it", half, all - half, false, true},
+                        Case{"half of it, read", half, all - half, true, false},
+                        Case{"it comes later", 0, all, true, true}}) {
+    SCOPED_TRACE(c.name);
+    asio::io_context io;
+    int taken = 0;
+    meadowyard::ClientServer server(io, {Loopback()}, {}, Handlers([&](meadowyard::ClientRequest request) {
+                                      ++taken;
+                                      request.answer(meadowyard::Answer{});
+                                    }));
+    Client client(io, server.address());
+    client.Send(ApiCall("r1"));
+    ASSERT_EQ(client.Await(1).result(), http::status::ok);
+    client.Send(text.substr(0, c.before));
+    while (c.seen && io.poll() > 0) {
+    }
+    std::string passed;
+    tcp::socket next(io);
+    server.HandOver([&](int fd, std::string_view unread) {
+      passed = unread;
+      next.assign(tcp::v4(), ::dup(fd));
+      return true;
+    });
+    while (io.poll() > 0) {
+    }
+    client.Send(text.substr(c.before, c.after));
+    if (c.passed) {
+      ASSERT_TRUE(RunUntil(io, [&] { return next.is_open(); }));
+      next.non_blocking(true);
+      ASSERT_TRUE(RunUntil(io, [&] {
+        char piece[4096];
+        error_code ec;
+        const std::size_t n = next.read_some(asio::buffer(piece), ec);
+        passed.append(piece, n);
+        return passed.size() >= c.before + c.after;
+      }));
+      EXPECT_EQ(passed, text.substr(0, c.before + c.after));
+      EXPECT_EQ(taken, 1);
+    } else {
+      EXPECT_EQ(client.Await(2).result(), http::status::ok);
+      EXPECT_EQ(taken, 2);
+    }
+  }
+}
+
+// Guards clients against answers that never end: each gets its one answer in its time, and the connection is
+// of no further use.
+TEST(Races, AnAnswerThatNeverEndsLeavesNobodyWaiting) {
+  struct Case {
+    const char* name;
+    std::string begins, goes_on;
+  };
+  for (const Case& c : {Case{"head", "HTTP/1.1 200 OK\r\n", "X-More: and more\r\n"},
+                        Case{"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+                        Case{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+                        Case{"body", "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", "x"}}) {
+    SCOPED_TRACE(c.name);
+    constexpr Millis kAllowed = 600;
+    World world;
+    const auto client = world.Connect();
+    client->Send(ApiCall("r1", "pay", std::to_string(static_cast<int>(kAllowed)) + "m"));
+    ASSERT_TRUE(world.Until([&] { return world.host().requests.size() == 1; }));
+    const auto on = world.host().requests[0].on;
+    const Millis begun = Now();
+    on->Raw(c.begins);
+    Millis said_at = 0;
+    ASSERT_TRUE(world.Until([&] {
+      if (!on->ended && Now() - said_at > 10) on->Raw(c.goes_on), said_at = Now();
+      return !client->answers().empty();
+    }));
+    EXPECT_LE(Now() - begun, kAllowed + 50);
+    EXPECT_GE(client->answers()[0].result_int(), 500u);
+    EXPECT_NE(client->answers()[0].result_int(), 503u) << "it may have run";
+    EXPECT_TRUE(world.Until([&] { return on->ended; }));
+    EXPECT_EQ(world.host().requests.size(), 1u);
+    EXPECT_EQ(client->answers().size(), 1u);
+  }
+}
+
 // Guards a request whose last byte comes when all that was open has been answered, before the process ends:
 // it gets its answer too, and goes to no host.
 TEST(Races, ARequestThatIsWholeAfterTheLastAnswersIsRefused) {
