--- a/review/lib/host.py
+++ b/review/lib/host.py
@@ -3,8 +3,11 @@
 stop or kill it. Each request that has come whole is written to the record file, one JSON object a line.
 
     host.py ID ADDRESS:PORT RECORD [--work-ms N]
+
+ID and ADDRESS:PORT may be lists of equal length, with commas: then one process stands for so many hosts.
 """
 import json
+import selectors
 import socket
 import sys
 import threading
@@ -63,8 +66,9 @@
 class Host:
     def __init__(self, name, record, work):
         self.name, self.work = name, work
-        self.lock = threading.Lock()
-        self.record = open(record, "a", buffering=1)
+        self.record = record
+
+    lock = threading.Lock()
 
     def write(self, **what):
         with self.lock:
@@ -95,19 +99,27 @@
             connection.close()
 
 
-def main():
-    name, address, record = sys.argv[1:4]
-    work = float(sys.argv[5]) / 1000 if len(sys.argv) > 5 and sys.argv[4] == "--work-ms" else 0.02
+def listen(address):
     ip, port = address.rsplit(":", 1)
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((ip, int(port)))
     listener.listen(128)
-    host = Host(name, record, work)
+    return listener
+
+
+def main():
+    names, addresses, record = sys.argv[1:4]
+    work = float(sys.argv[5]) / 1000 if len(sys.argv) > 5 and sys.argv[4] == "--work-ms" else 0.02
+    record = open(record, "a", buffering=1)
+    selector = selectors.DefaultSelector()
+    for name, address in zip(names.split(","), addresses.split(",")):
+        selector.register(listen(address), selectors.EVENT_READ, Host(name, record, work))
     print("ready", flush=True)
     while True:
-        connection, _ = listener.accept()
-        threading.Thread(target=host.serve, args=(connection,), daemon=True).start()
+        for key, _ in selector.select():
+            connection, _ = key.fileobj.accept()
+            threading.Thread(target=key.data.serve, args=(connection,), daemon=True).start()
 
 
 main()
--- a/review/lib/testbed.py
+++ b/review/lib/testbed.py
@@ -159,11 +159,11 @@
         return process
 
     def host(self, name, address, work_ms=20):
-        record = os.path.join(self.tmp, "host-%s.txt" % name)
+        record = os.path.join(self.tmp, "host-%s.txt" % name.split(",")[0])
         process = self.spawn([sys.executable, os.path.join(LIB, "host.py"), name, address, record, "--work-ms", str(work_ms)],
                              stdout=subprocess.PIPE)
         if process.stdout.readline() != b"ready\n":
-            raise CannotRun("host %s does not start" % name)
+            raise CannotRun("host %s does not start" % name.split(",")[0])
         return process
 
     def ran(self):
