Review: a client that sends much at once and goes crashes the gateway (new case 1)

Found by sending mutated requests and answers to a build with sanitizers: when a long answer begins for a client whose connection is reset already, OnResponseStarted uses the request's id after the attempt that held it is destroyed. The cases so far move down by one.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,10 +1,6 @@
-"""Long uploads while one of four hosts hangs: does each request get its final answer in its time?"""
-import collections
-import fcntl
+"""Some clients send many requests at once and go; answers are long. Does the gateway go on serving the others?"""
 import os
-import signal
 import socket
-import struct
 import sys
 import threading
 import time
@@ -13,86 +9,88 @@
 import testbed
 from testbed import LOOPBACK, category, request_head, read_answer
 
-HOSTS = 4
-DEADLINE_MS = 4000   # charge-ship: given up after 4 s
-WARM_UP = 60         # short requests before the trouble
-UPLOADS = 48
-SIZES = [4_500_000 + step * 250_000 for step in range(9)]  # 4.5 to 6.5 MB; the pages have bodies of up to 32 MB
-LATE_MS = 500 + 50   # the half second of the standing test, and the 50 ms by which limits are longer on sockets
-SIOCOUTQ = 0x5411    # bytes in the client's socket that the other machine has not acknowledged
+HOSTS, WORK_MS, ANSWER_BYTES = 4, 20, 100_000  # the pages have answers of up to 32 MB
+SECONDS, CLIENTS, PAUSE_S = 20, 4, 0.1         # the usual clients
+BAD_CLIENTS, AT_ONCE = 20, 200                 # one bad client every 0.5 s; "hundreds of requests at once"
 
 
-def small(port, number):
-    with socket.create_connection((LOOPBACK, port), timeout=5) as connection:
-        connection.sendall(request_head("small-%d" % number, "charge-ship", DEADLINE_MS, "POST", 100) + b"x" * 100)
-        return read_answer(connection.makefile("rb"))
+class Usual(threading.Thread):
+    """A usual client: one request at a time on a connection that it keeps."""
 
+    def __init__(self, bed, port, number, until):
+        super().__init__()
+        self.bed, self.port, self.number, self.until = bed, port, number, until
+        self.served, self.lost = 0, []
 
-def upload(bed, port, number, size, lost):
-    """A client that sends one request with a long body and waits for its answer until its time is up, and a bit more."""
-    name = "long-%d" % number
-    with socket.create_connection((LOOPBACK, port)) as connection:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.settimeout(8)
-        try:
-            connection.sendall(request_head(name, "charge-ship", DEADLINE_MS, "POST", size) + b"x" * size)
-        except OSError as error:  # the last byte was not written: the gateway has not taken this request
-            return bed.say("%s: %d bytes, not written whole (%r): not judged" % (name, size, error))
-        written = time.time()
-        connection.settimeout((DEADLINE_MS + LATE_MS) / 1000)
-        try:
-            answer = read_answer(connection.makefile("rb"))
-            what = "the connection ended without an answer" if answer is None else "answered %d" % answer[0]
-        except TimeoutError:
-            answer, what = None, "NO ANSWER"
-        unseen = struct.unpack("i", fcntl.ioctl(connection, SIOCOUTQ, b"\0" * 4))[0]
-        bed.say("%s: %d bytes, last byte written at %s; %s %.3f s after it (its time: %.1f s); "
-                "bytes that had not reached the gateway's machine: %d"
-                % (name, size, bed.at(written), what, time.time() - written, DEADLINE_MS / 1000, unseen))
-        if answer is None:
-            lost.append(name)
+    def run(self):
+        connection, stream, count = None, None, 0
+        while time.time() < self.until:
+            name = "usual%d-%d" % (self.number, count)
+            count += 1
+            written = False
+            try:
+                if connection is None:
+                    connection = socket.create_connection((LOOPBACK, self.port), timeout=5)
+                    stream = connection.makefile("rb")
+                connection.sendall(request_head(name, "charge-ship", 4000, "POST", 100) + b"x" * 100)
+                written = True
+                answer = read_answer(stream)
+            except OSError:
+                answer = None
+            if answer is not None:
+                self.served += answer[0] == 200
+            else:
+                connection = None
+                if written:
+                    self.lost.append(name)
+                    self.bed.say("%s: written whole, and its connection ended without an answer" % name)
+            time.sleep(PAUSE_S)
+
+
+def bad_client(port, number, stay):
+    with socket.create_connection((LOOPBACK, port), timeout=5) as connection:
+        connection.sendall(b"".join(request_head("bad%d-%d" % (number, index), "plan-view", 1500) for index in range(AT_ONCE)))
+        time.sleep(stay)  # then it goes, with answers unread
 
 
 def play(bed):
     ports = testbed.free_ports(HOSTS + 1)
     discovery = testbed.Discovery(bed)
-    hosts = []
     for index in range(HOSTS):
         address = "%s:%d" % (LOOPBACK, ports[index])
-        hosts.append(bed.host("h%d" % index, address))
+        bed.host("h%d" % index, address, WORK_MS, ANSWER_BYTES)
         discovery.put(discovery.entry("h%d" % index, address))
     port = ports[HOSTS]
     listen = "%s:%d" % (LOOPBACK, port)
-    bed.gateway("n0", {
+    gateway = bed.gateway("n0", {
         "name": "n0", "listen": listen, "discovery": discovery.address, "seed": "%x" % time.time_ns(),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": discovery.snapshot(),
         "settings": testbed.settings([category("plan-view", "pure", 600, 1500),
-                                      category("charge-ship", "side_effect", 800, DEADLINE_MS, 5.0)])})
+                                      category("charge-ship", "side_effect", 800, 4000, 5.0)])})
     testbed.wait_until(lambda: testbed.call(listen, "GET", "/up")[0] == 200, 20, "the gateway's /up")
-    for number in range(WARM_UP):
-        answer = small(port, number)
-        if answer is None or answer[0] != 200:
-            raise testbed.CannotRun("a short request with all hosts well got %s" % (answer,))
-    served = collections.Counter(line["host"] for line in bed.ran())
-    busiest = served.most_common(1)[0][0]  # any host may hang; this one matters most to the clients
-    bed.say("%d short requests served by %s" % (WARM_UP, dict(served)))
-    if bed.trouble:
-        hosts[int(busiest[1:])].send_signal(signal.SIGSTOP)
-        bed.say("host %s hangs from now on (1 of %d)" % (busiest, HOSTS))
-    lost, clients = [], []
-    for number in range(UPLOADS):
-        client = threading.Thread(target=upload, args=(bed, port, number, SIZES[number % len(SIZES)], lost))
+    until = time.time() + SECONDS
+    usual = [Usual(bed, port, number, until) for number in range(CLIENTS)]
+    for client in usual:
         client.start()
-        clients.append(client)
-        time.sleep(0.15)
-    for client in clients:
+    time.sleep(2)
+    sent = 0
+    while bed.trouble and sent < BAD_CLIENTS and gateway.poll() is None:
+        stay = 0.035 + 0.007 * sent
+        bed.say("bad client %d sends %d requests at once, and goes after %.3f s" % (sent, AT_ONCE, stay))
+        try:
+            bad_client(port, sent, stay)
+        except OSError as error:
+            bed.say("bad client %d: %r" % (sent, error))
+        sent += 1
+        time.sleep(0.5)
+    if gateway.poll() is not None:
+        bed.say("THE GATEWAY HAS ENDED with status %d (negative: that signal) after %d bad clients"
+                % (gateway.poll(), sent))
+    for client in usual:
         client.join()
-    for line in bed.ran():
-        if line["id"].startswith("long"):
-            bed.say("run by %s at %s: %s, %d bytes" % (line["host"], bed.at(line["t"]), line["id"], line["body"]))
-    bed.say("%d of %d requests were written whole and had no answer %.2f s after their time: %s"
-            % (len(lost), UPLOADS, LATE_MS / 1000, " ".join(sorted(lost))))
-    return bool(lost)
+    bed.say("usual clients: %d requests served, %d written whole and never answered"
+            % (sum(client.served for client in usual), sum(len(client.lost) for client in usual)))
+    return gateway.poll() is not None
 
 
 testbed.main(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,82 +1,98 @@
-"""The operators' file of three gateways gets a shorter lease_ms, one gateway after the other: does one gateway at a time
-hold the role?"""
-import json
+"""Long uploads while one of four hosts hangs: does each request get its final answer in its time?"""
+import collections
+import fcntl
 import os
 import signal
+import socket
+import struct
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import testbed
-from testbed import LOOPBACK, category
+from testbed import LOOPBACK, category, request_head, read_answer
 
-GATEWAYS, HOSTS = 3, 2
-LEASE_BEFORE_MS, LEASE_AFTER_MS = 10000, 3000  # the second one is the default
-STEP_S = 8                                     # from one gateway's SIGHUP to the next one's
+HOSTS = 4
+DEADLINE_MS = 4000   # charge-ship: given up after 4 s
+WARM_UP = 60         # short requests before the trouble
+UPLOADS = 48
+SIZES = [4_500_000 + step * 250_000 for step in range(9)]  # 4.5 to 6.5 MB; the pages have bodies of up to 32 MB
+LATE_MS = 500 + 50   # the half second of the standing test, and the 50 ms by which limits are longer on sockets
+SIOCOUTQ = 0x5411    # bytes in the client's socket that the other machine has not acknowledged
 
 
-def peers_file(path, ports, lease):
-    text = "[peers]\nshare_list = true\nlease_ms = %d\n" % lease
-    for index, port in enumerate(ports):
-        text += '\n[[peer]]\nname = "g%d"\naddress = "%s:%d"\n' % (index, LOOPBACK, port)
-    testbed.write_file(path, text)
+def small(port, number):
+    with socket.create_connection((LOOPBACK, port), timeout=5) as connection:
+        connection.sendall(request_head("small-%d" % number, "charge-ship", DEADLINE_MS, "POST", 100) + b"x" * 100)
+        return read_answer(connection.makefile("rb"))
+
+
+def upload(bed, port, number, size, lost):
+    """A client that sends one request with a long body and waits for its answer until its time is up, and a bit more."""
+    name = "long-%d" % number
+    with socket.create_connection((LOOPBACK, port)) as connection:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.settimeout(8)
+        try:
+            connection.sendall(request_head(name, "charge-ship", DEADLINE_MS, "POST", size) + b"x" * size)
+        except OSError as error:  # the last byte was not written: the gateway has not taken this request
+            return bed.say("%s: %d bytes, not written whole (%r): not judged" % (name, size, error))
+        written = time.time()
+        connection.settimeout((DEADLINE_MS + LATE_MS) / 1000)
+        try:
+            answer = read_answer(connection.makefile("rb"))
+            what = "the connection ended without an answer" if answer is None else "answered %d" % answer[0]
+        except TimeoutError:
+            answer, what = None, "NO ANSWER"
+        unseen = struct.unpack("i", fcntl.ioctl(connection, SIOCOUTQ, b"\0" * 4))[0]
+        bed.say("%s: %d bytes, last byte written at %s; %s %.3f s after it (its time: %.1f s); "
+                "bytes that had not reached the gateway's machine: %d"
+                % (name, size, bed.at(written), what, time.time() - written, DEADLINE_MS / 1000, unseen))
+        if answer is None:
+            lost.append(name)
 
 
 def play(bed):
-    ports = testbed.free_ports(HOSTS + 3 * GATEWAYS)
+    ports = testbed.free_ports(HOSTS + 1)
     discovery = testbed.Discovery(bed)
+    hosts = []
     for index in range(HOSTS):
-        address = "%s:%d" % (LOOPBACK, ports.pop())
-        bed.host("h%d" % index, address)
+        address = "%s:%d" % (LOOPBACK, ports[index])
+        hosts.append(bed.host("h%d" % index, address))
         discovery.put(discovery.entry("h%d" % index, address))
-    listen, admin, peers = ([ports.pop() for _ in range(GATEWAYS)] for _ in range(3))
-    admin = ["%s:%d" % (LOOPBACK, port) for port in admin]
-    gateways, files = [], []
-    for index in range(GATEWAYS):
-        files.append(os.path.join(bed.tmp, "peers-g%d.toml" % index))
-        peers_file(files[index], peers, LEASE_BEFORE_MS)
-        gateways.append(bed.gateway("g%d" % index, {
-            "name": "g%d" % index, "listen": "%s:%d" % (LOOPBACK, listen[index]), "admin": admin[index],
-            "discovery": discovery.address, "seed": "%x" % (time.time_ns() + index),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": discovery.snapshot(),
-            "settings": testbed.settings([category("plan-view", "pure", 600, 1500),
-                                          category("charge-ship", "side_effect", 800, 4000, 5.0)],
-                                         gateways=GATEWAYS, mayTell=True)}, {"MEADOWYARD_PEERS": files[index]}))
-
-    def status(index):
-        return json.loads(testbed.call(admin[index], "GET", "/status/peers")[1])["list"]
-
-    def holders():
-        return [index for index in range(GATEWAYS) if status(index)["holds"]]
-
-    testbed.wait_until(lambda: len(holders()) == 1, 40, "a holder of the role")
-    time.sleep(2)
-    holder = holders()[0]
-    bed.say("holder: g%d, by a lease of %d ms" % (holder, LEASE_BEFORE_MS))
-    order = [index for index in range(GATEWAYS) if index != holder] + [holder]  # the holder last
-    began, reloaded, both, last = time.monotonic(), 0, 0, None
-    while time.monotonic() < began + STEP_S * GATEWAYS + 5:
-        if bed.trouble and reloaded < GATEWAYS and time.monotonic() >= began + 2 + STEP_S * reloaded:
-            index = order[reloaded]
-            reloaded += 1
-            peers_file(files[index], peers, LEASE_AFTER_MS)
-            os.kill(gateways[index].pid, signal.SIGHUP)
-            bed.say("g%d: lease_ms is %d now, SIGHUP" % (index, LEASE_AFTER_MS))
-        # Each is asked twice, in opposite orders. If two say so both times, with the same tokens, then the one that was
-        # asked first and last held the lease at the moment in which the other said that it did.
-        first = [status(index) for index in range(GATEWAYS)]
-        second = [status(index) for index in reversed(range(GATEWAYS))][::-1]
-        hold = [index for index in range(GATEWAYS)
-                if first[index]["holds"] and second[index]["holds"] and first[index]["token"] == second[index]["token"]]
-        seen = (hold, [second[index]["turned_down"] for index in range(GATEWAYS)])
-        if seen != last:
-            bed.say("held by: %s; tokens %s; acts of a former holder that were turned down: %s"
-                    % (["g%d" % index for index in hold], [second[index]["token"] for index in hold], seen[1]))
-            last = seen
-        both += len(hold) > 1
-        time.sleep(0.2)
-    bed.say("two gateways held the one role in %d of the looks, 0.2 s apart" % both)
-    return both > 0
+    port = ports[HOSTS]
+    listen = "%s:%d" % (LOOPBACK, port)
+    bed.gateway("n0", {
+        "name": "n0", "listen": listen, "discovery": discovery.address, "seed": "%x" % time.time_ns(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": discovery.snapshot(),
+        "settings": testbed.settings([category("plan-view", "pure", 600, 1500),
+                                      category("charge-ship", "side_effect", 800, DEADLINE_MS, 5.0)])})
+    testbed.wait_until(lambda: testbed.call(listen, "GET", "/up")[0] == 200, 20, "the gateway's /up")
+    for number in range(WARM_UP):
+        answer = small(port, number)
+        if answer is None or answer[0] != 200:
+            raise testbed.CannotRun("a short request with all hosts well got %s" % (answer,))
+    served = collections.Counter(line["host"] for line in bed.ran())
+    busiest = served.most_common(1)[0][0]  # any host may hang; this one matters most to the clients
+    bed.say("%d short requests served by %s" % (WARM_UP, dict(served)))
+    if bed.trouble:
+        hosts[int(busiest[1:])].send_signal(signal.SIGSTOP)
+        bed.say("host %s hangs from now on (1 of %d)" % (busiest, HOSTS))
+    lost, clients = [], []
+    for number in range(UPLOADS):
+        client = threading.Thread(target=upload, args=(bed, port, number, SIZES[number % len(SIZES)], lost))
+        client.start()
+        clients.append(client)
+        time.sleep(0.15)
+    for client in clients:
+        client.join()
+    for line in bed.ran():
+        if line["id"].startswith("long"):
+            bed.say("run by %s at %s: %s, %d bytes" % (line["host"], bed.at(line["t"]), line["id"], line["body"]))
+    bed.say("%d of %d requests were written whole and had no answer %.2f s after their time: %s"
+            % (len(lost), UPLOADS, LATE_MS / 1000, " ".join(sorted(lost))))
+    return bool(lost)
 
 
 testbed.main(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/lib/host.py
+++ b/review/lib/host.py
@@ -2,7 +2,7 @@
 """Stand-in for a host: HTTP/1.1 over TCP as the protocol page describes it. One process per host, so that a test can
 stop or kill it. Each request that has come whole is written to the record file, one JSON object a line.
 
-    host.py ID ADDRESS:PORT RECORD [--work-ms N]
+    host.py ID ADDRESS:PORT RECORD [--work-ms N] [--answer-bytes N]
 
 ID and ADDRESS:PORT may be lists of equal length, with commas: then one process stands for so many hosts.
 """
@@ -64,8 +64,8 @@
 
 
 class Host:
-    def __init__(self, name, record, work):
-        self.name, self.work = name, work
+    def __init__(self, name, record, work, answer_bytes):
+        self.name, self.work, self.answer_bytes = name, work, answer_bytes
         self.record = record
 
     lock = threading.Lock()
@@ -88,10 +88,11 @@
                 elif "req-id" not in fields:
                     status, body, extra = "404 Not Found", b"no id\n", ""
                 else:
+                    answer = "answer to %s by %s\n" % (fields["req-id"], self.name)
                     self.write(id=fields["req-id"], method=method, kind=fields.get("req-kind"), body=size,
                                says_ms=fields.get("req-deadline"))
                     time.sleep(self.work)
-                    status, body, extra = "200 OK", ("answer to %s by %s\n" % (fields["req-id"], self.name)).encode(), ""
+                    status, body, extra = "200 OK", answer.encode().ljust(self.answer_bytes, b"."), ""
                 connection.sendall(("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n" % (status, extra, len(body))).encode() + body)
         except (OSError, ValueError):
             pass
@@ -110,11 +111,12 @@
 
 def main():
     names, addresses, record = sys.argv[1:4]
-    work = float(sys.argv[5]) / 1000 if len(sys.argv) > 5 and sys.argv[4] == "--work-ms" else 0.02
+    options = dict(zip(sys.argv[4::2], sys.argv[5::2]))
+    work, answer_bytes = float(options.get("--work-ms", 20)) / 1000, int(options.get("--answer-bytes", 0))
     record = open(record, "a", buffering=1)
     selector = selectors.DefaultSelector()
     for name, address in zip(names.split(","), addresses.split(",")):
-        selector.register(listen(address), selectors.EVENT_READ, Host(name, record, work))
+        selector.register(listen(address), selectors.EVENT_READ, Host(name, record, work, answer_bytes))
     print("ready", flush=True)
     while True:
         for key, _ in selector.select():
--- a/review/lib/testbed.py
+++ b/review/lib/testbed.py
@@ -153,14 +153,16 @@
 
     def spawn(self, command, environment=None, log=None, **more):
         output = open(log, "ab") if log else subprocess.DEVNULL
-        process = subprocess.Popen(command, env={**os.environ, **(environment or {})}, cwd=ROOT, stdin=subprocess.DEVNULL,
+        own = {name: value for name, value in os.environ.items() if not name.startswith(("NODE_", "MEADOWYARD_"))}
+        process = subprocess.Popen(command, env={**own, **(environment or {})}, cwd=ROOT, stdin=subprocess.DEVNULL,
                                    stderr=output, **({"stdout": output} | more))
         self.processes.append(process)
         return process
 
-    def host(self, name, address, work_ms=20):
+    def host(self, name, address, work_ms=20, answer_bytes=0):
         record = os.path.join(self.tmp, "host-%s.txt" % name.split(",")[0])
-        process = self.spawn([sys.executable, os.path.join(LIB, "host.py"), name, address, record, "--work-ms", str(work_ms)],
+        process = self.spawn([sys.executable, os.path.join(LIB, "host.py"), name, address, record, "--work-ms", str(work_ms),
+                              "--answer-bytes", str(answer_bytes)],
                              stdout=subprocess.PIPE)
         if process.stdout.readline() != b"ready\n":
             raise CannotRun("host %s does not start" % name.split(",")[0])
