--- a/review/1/play.py
+++ b/review/1/play.py
@@ -34,11 +34,13 @@
                     stream = connection.makefile("rb")
                 connection.sendall(request_head(name, "charge-ship", 4000, "POST", 100) + b"x" * 100)
                 written = True
+                self.bed.say("%s: sent" % name)
                 answer = read_answer(stream)
             except OSError:
                 answer = None
             if answer is not None:
                 self.served += answer[0] == 200
+                self.bed.say("%s: answered %d, %d bytes" % (name, answer[0], len(answer[1])))
             else:
                 connection = None
                 if written:
@@ -48,16 +50,19 @@
 
 
 def bad_client(port, number, stay):
+    """Returns the number of bytes that it has read."""
+    count = 0
     with socket.create_connection((LOOPBACK, port), timeout=5) as connection:
         connection.sendall(b"".join(request_head("bad%d-%d" % (number, index), "plan-view", 1500) for index in range(AT_ONCE)))
         connection.settimeout(0.005)
         until = time.time() + stay
         while time.time() < until:  # it reads what is sent to it, in pieces, until it goes
             try:
-                connection.recv(16384)
+                count += len(connection.recv(16384))
             except TimeoutError:
                 continue
             time.sleep(0.005)
+    return count
 
 
 def play(bed):
@@ -85,7 +90,7 @@
         stay = 0.035 + 0.007 * sent
         bed.say("bad client %d sends %d requests at once, and goes after %.3f s" % (sent, AT_ONCE, stay))
         try:
-            bad_client(port, sent, stay)
+            bed.say("bad client %d has read %d bytes and is gone" % (sent, bad_client(port, sent, stay)))
         except OSError as error:
             bed.say("bad client %d: %r" % (sent, error))
         sent += 1
@@ -100,4 +105,4 @@
     return gateway.poll() is not None
 
 
-testbed.main(os.path.dirname(os.path.abspath(__file__)), play)
+testbed.main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -73,6 +73,7 @@
         answer = small(port, number)
         if answer is None or answer[0] != 200:
             raise testbed.CannotRun("a short request with all hosts well got %s" % (answer,))
+        bed.say("small-%d: sent, and answered %d" % (number, answer[0]))
     served = collections.Counter(line["host"] for line in bed.ran())
     busiest = served.most_common(1)[0][0]  # any host may hang; this one matters most to the clients
     bed.say("%d short requests served by %s" % (WARM_UP, dict(served)))
@@ -87,12 +88,9 @@
         time.sleep(0.15)
     for client in clients:
         client.join()
-    for line in bed.ran():
-        if line["id"].startswith("long"):
-            bed.say("run by %s at %s: %s, %d bytes" % (line["host"], bed.at(line["t"]), line["id"], line["body"]))
     bed.say("%d of %d requests were written whole and had no answer %.2f s after their time: %s"
             % (len(lost), UPLOADS, LATE_MS / 1000, " ".join(sorted(lost))))
     return bool(lost)
 
 
-testbed.main(os.path.dirname(os.path.abspath(__file__)), play)
+testbed.main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -36,6 +36,7 @@
             connection = None
         status = answer[0] if answer else "none"
         counts[status] = counts.get(status, 0) + 1
+        bed.say("c%d-%d: sent, and answered: %s" % (number, count, status))
         count += 1
         time.sleep(max(0, due - time.time()))
 
@@ -81,10 +82,10 @@
     bed.say("answers by status: %s" % counts)
     wrong = [line for line in bed.ran() if line["host"] in out and line["t"] > taken_out + GRACE_S]
     for line in wrong:
-        bed.say("run by %s, which is out, at %s: %s" % (line["host"], bed.at(line["t"]), line["id"]))
+        bed.say("WRONG: run by %s, which is out, at %s: %s" % (line["host"], bed.at(line["t"]), line["id"]))
     bed.say("%d requests went to hosts that had been out for more than %.2f s; no call has put them back"
             % (len(wrong), GRACE_S))
     return bool(wrong)
 
 
-testbed.main(os.path.dirname(os.path.abspath(__file__)), play)
+testbed.main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), play)
--- a/review/lib/testbed.py
+++ b/review/lib/testbed.py
@@ -119,10 +119,9 @@
 class Bed:
     """One play of a case. Use it as a context manager: at the end all processes that it started are ended."""
 
-    def __init__(self, folder):
-        self.folder = folder
+    def __init__(self, record):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = open(os.path.join(folder, "record.txt"), "w", buffering=1)
+        self.record = open(record, "w", buffering=1)
         self.lock = threading.Lock()
         self.began = time.time()
         self.processes = []
@@ -191,6 +190,10 @@
         process.folder = folder
         return process
 
+    def write_runs(self):
+        for line in self.ran():
+            self.say("run by %s at %s: %s, %s, %d bytes" % (line["host"], self.at(line["t"]), line["id"], line["kind"], line["body"]))
+
     def logs(self):
         for folder in sorted(os.listdir(self.tmp)):
             path = os.path.join(self.tmp, folder, "log.txt")
@@ -276,9 +279,10 @@
     return (status, body) if len(body) == length else None
 
 
-def main(folder, play):
-    """Plays a case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    with Bed(folder) as bed:
+def main(record, play):
+    """Plays a case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run. `record`: the file
+    that tells what was sent, answered and run."""
+    with Bed(record) as bed:
         try:
             broken = play(bed)
         except CannotRun as error:
@@ -290,8 +294,9 @@
             bed.say("the case could not run: %r\n%s" % (error, traceback.format_exc()))
             status = 2
         else:
+            bed.write_runs()
             bed.logs()
             status = 1 if broken else 0
             bed.say("the rule was broken" if broken else "the rule held")
-    sys.stderr.write(open(os.path.join(folder, "record.txt")).read().splitlines()[-2] + "\n")
+    sys.stderr.write(open(record).read().splitlines()[-2] + "\n")
     sys.exit(status)
