Keep an attempt's callback and id alive while a long answer starts

Cause: OnResponseStarted referred to the id in the attempt's callback. If the client's connection is reset, the first write of the answer fails inside that call and ends the attempt, which destroys the callback with the id; the report after it read freed memory. The connection now moves the callback out before the call, as on_finished is, and the core copies the id.

--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -134,7 +134,9 @@
   Report(RequestBodyComplete{id, open_request->answer_deadline - clock_.Now()});
 }
 
-void Gateway::OnResponseStarted(const std::string& id, std::size_t attempt, ResponseMessage response,
+// `id` is a copy, because calling `answer` may end the attempt: the client's connection may have been reset,
+// so that the first write fails. The policy then ignores ResponseStarted, which comes after the outcome.
+void Gateway::OnResponseStarted(std::string id, std::size_t attempt, ResponseMessage response,
                                 std::shared_ptr<BodySource> remaining_body) {
   OpenRequest* const open_request = Find(id);
   if (open_request == nullptr || open_request->answered) return remaining_body->Cancel();
@@ -150,11 +152,11 @@
                 name, complete ? Metrics::RequestResult::kServed : Metrics::RequestResult::kFailed);
           },
           true, nullptr, nullptr});
-  Report(ResponseStarted{id, static_cast<int>(attempt), latency});
+  Report(ResponseStarted{std::move(id), static_cast<int>(attempt), latency});
 }
 
-// Unlike a streamed response, a tunnel may close inside the call to `answer`. ResponseStarted is therefore
-// reported before it, so that the policy gets the events in order.
+// The tunnel may close inside the call to `answer`. ResponseStarted is therefore reported before it: the
+// policy counts open tunnels by these events.
 void Gateway::OnTunnelOpened(const std::string& id, std::size_t attempt,
                              std::unique_ptr<meadowyard::core::TunnelEndpoint> host_connection) {
   OpenRequest* const open_request = Find(id);
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -88,7 +88,7 @@
   // The request is complete: counts it as accepted and starts its deadline timer.
   void Accept(const std::string& id, OpenRequest& open_request);
   // An attempt has a streamed response, which is forwarded to the client as it arrives.
-  void OnResponseStarted(const std::string& id, std::size_t attempt, ResponseMessage response,
+  void OnResponseStarted(std::string id, std::size_t attempt, ResponseMessage response,
                          std::shared_ptr<BodySource> remaining_body);
   void OnAttemptFinished(const std::string& id, std::size_t attempt, AttemptResult result,
                          ResponseMessage response);
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -12,7 +12,9 @@
 
 namespace meadowyard::core {
 
-/// One attempt: what is sent, and the callbacks that report its progress.
+/// One attempt: what is sent, and the callbacks that report its progress. A callback may end its own attempt,
+/// for example when the client's connection turns out to be reset. An Upstream must therefore keep a
+/// callback, with everything that it captured, alive until it has returned.
 struct AttemptRequest {
   std::shared_ptr<const RequestMessage> message;
   std::shared_ptr<BodySource> body_source;  // remainder of a body that is still arriving; null if complete
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -40,7 +40,9 @@
                  FinishJob(result, std::move(response));
                },
                [this](core::ResponseMessage response, std::shared_ptr<core::BodySource> remainder) {
-                 job_->on_response_started(std::move(response), std::move(remainder));
+                 // Moved out first: the call may end the job and so destroy its callbacks.
+                 const auto on_response_started = std::move(job_->on_response_started);
+                 on_response_started(std::move(response), std::move(remainder));
                },
                [this](bool keep_alive) {
                  Release(keep_alive);
