Answer uploads within their client's timeout while a host takes no data

Cause: the timeout counts from the client's last byte, and the gateway took that to be the last byte that it had read. While the host accepts nothing nothing is read, and only the 10 s limit of a stalled stream held: the core had no deadline timer and the connection replaced the attempt's deadline. A host that resumed late was given the whole timeout again.

RequestBody::EarliestCompleteAt tells from when the client may have sent everything; core and connection count from it at every stage.

Uploads that take longer than the timeout to send are still served.

--- a/src/core/body_source.hpp
+++ b/src/core/body_source.hpp
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include "meadowyard/policy.hpp"
+
 namespace meadowyard::core {
 
 constexpr std::size_t kMaxPieceBytes = 16 * 1024;   // largest piece of a streamed body
@@ -35,6 +37,15 @@
   virtual bool data_requested() const = 0;
 };
 
+/// The remainder of a request's body, which the client may still be sending.
+class RequestBody : public BodySource {
+ public:
+  /// Earliest time at which the client can have sent the last byte, from which its timeout counts. That byte
+  /// may wait unread in a socket buffer while a host accepts no data. The time advances for as long as bytes
+  /// are known to be missing.
+  virtual Millis EarliestCompleteAt() = 0;
+};
+
 /// A piece as it is written to the wire: as it is, or as one chunk of the chunked transfer coding (RFC 9112,
 /// section 7.1) where the length was not declared.
 inline std::string EncodeBodyData(std::string_view piece, bool chunked) {
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -108,7 +108,7 @@
   if (request.earliest_sent_at > 0)
     open_request.retry_deadline -= std::max(0.0, request.received_at - request.earliest_sent_at);
   const bool body_pending = open_request.body_source != nullptr;
-  if (!body_pending) Accept(request.id, open_request);
+  body_pending ? StartDeadlineTimer(request.id, open_request) : Accept(request.id, open_request);
   Report(Request{request.id, request.class_name, request.tenant, request.key,
                  open_request.answer_deadline - clock_.Now(), request.is_retry, body_pending,
                  request.pinned_endpoint, request.is_tunnel, request.idempotency});
@@ -118,18 +118,37 @@
   open_request.accepted = true;
   open_request.body_complete_at = clock_.Now();
   metrics_.OnRequestAccepted();
-  open_request.deadline_timer =
-      clock_.StartTimer(open_request.answer_deadline + kAnswerMargin - kDeadlineTimerMargin - clock_.Now(),
-                        [this, id] { OnDeadline(id); });
+  StartDeadlineTimer(id, open_request);
+}
+
+Millis Gateway::DeadlineTimerExpiry(const OpenRequest& open_request) {
+  const Millis client_deadline =
+      open_request.body_source ? open_request.body_source->EarliestCompleteAt() + open_request.client_timeout
+                               : open_request.answer_deadline + kAnswerMargin;
+  return client_deadline - kDeadlineTimerMargin;
+}
+
+void Gateway::StartDeadlineTimer(const std::string& id, OpenRequest& open_request) {
+  open_request.deadline_timer = clock_.StartTimer(DeadlineTimerExpiry(open_request) - clock_.Now(),
+                                                  [this, id] { OnDeadlineTimer(id); });
+}
+
+void Gateway::OnDeadlineTimer(const std::string& id) {
+  OpenRequest* const open_request = Find(id);
+  if (open_request == nullptr || open_request->answered) return;
+  if (open_request->body_source && DeadlineTimerExpiry(*open_request) > clock_.Now())
+    return StartDeadlineTimer(id, *open_request);
+  OnDeadline(id);
 }
 
 void Gateway::OnBodyComplete(const std::string& id) {
   OpenRequest* const open_request = Find(id);
   if (open_request == nullptr || open_request->answered) return;
   open_request->not_replayable = true;  // its body was streamed to a host; only the first part is kept here
-  open_request->body_source.reset();
+  const auto body_source = std::exchange(open_request->body_source, nullptr);
+  const Millis complete_at = body_source ? body_source->EarliestCompleteAt() : clock_.Now();
   open_request->answer_deadline = open_request->retry_deadline =
-      clock_.Now() + open_request->client_timeout - kAnswerMargin;
+      complete_at + open_request->client_timeout - kAnswerMargin;
   Accept(id, *open_request);
   Report(RequestBodyComplete{id, open_request->answer_deadline - clock_.Now()});
 }
@@ -314,6 +333,7 @@
   attempt_request.message = open_request->message;
   attempt_request.body_source = open_request->body_source;
   attempt_request.deadline = attempt_deadline;
+  attempt_request.upload_timeout = open_request->client_timeout - kAnswerMargin;
   attempt_request.still_wanted = [this, id = start.request, endpoint_id = start.endpoint] {
     return IsAwaited(Find(id)) && policy_.IsEligible(endpoint_id, id);
   };
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -69,7 +69,7 @@
   // A request from its submission until it is answered and all its attempts have ended.
   struct OpenRequest {
     std::shared_ptr<const RequestMessage> message;
-    std::shared_ptr<BodySource> body_source;  // remainder of its body, until it is complete
+    std::shared_ptr<RequestBody> body_source;  // remainder of its body, until it is complete
     std::function<void(meadowyard::core::Answer)> on_answer;
     std::function<bool()> has_disconnected;  // see ClientRequest::has_disconnected
     std::string class_name;
@@ -87,6 +87,10 @@
 
   // The request is complete: counts it as accepted and starts its deadline timer.
   void Accept(const std::string& id, OpenRequest& open_request);
+  // When the request is failed if it is still unanswered. A body that is still arriving defers this time.
+  static Millis DeadlineTimerExpiry(const OpenRequest& open_request);
+  void StartDeadlineTimer(const std::string& id, OpenRequest& open_request);
+  void OnDeadlineTimer(const std::string& id);
   // An attempt has a streamed response, which is forwarded to the client as it arrives.
   void OnResponseStarted(std::string id, std::size_t attempt, ResponseMessage response,
                          std::shared_ptr<BodySource> remaining_body);
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -103,8 +103,8 @@
   Millis received_at = 0;                                 // when its last byte was read
   Millis earliest_sent_at = 0;  // earliest time at which the client can have sent it; 0: `received_at`
   Millis client_timeout = 0;    // how long the client waits, from when it sent the request
-  std::shared_ptr<BodySource> body_source;  // remainder of a body that is still arriving; null if complete
-  std::function<void(Answer)> on_answer;    // to be called once; further calls are ignored
+  std::shared_ptr<RequestBody> body_source;  // remainder of a body that is still arriving; null if complete
+  std::function<void(Answer)> on_answer;     // to be called once; further calls are ignored
   /// Whether the client has disconnected, even if OnClientDisconnected was not called yet; may be null.
   std::function<bool()> has_disconnected;
 };
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -17,10 +17,12 @@
 /// callback, with everything that it captured, alive until it has returned.
 struct AttemptRequest {
   std::shared_ptr<const RequestMessage> message;
-  std::shared_ptr<BodySource> body_source;  // remainder of a body that is still arriving; null if complete
+  std::shared_ptr<RequestBody> body_source;  // remainder of a body that is still arriving; null if complete
   /// End of the attempt. Where the body is still arriving, the time that is left when the attempt
   /// starts counts from the completion of the body instead.
   Millis deadline = 0;
+  /// With `body_source`: the attempt also ends this long after RequestBody::EarliestCompleteAt.
+  Millis upload_timeout = 0;
   /// Called when the connection to the host is open: whether the attempt is still to be sent.
   std::function<bool()> still_wanted = [] { return true; };
   /// The request was written completely.
--- a/src/fronts/http/request_reader.cpp
+++ b/src/fronts/http/request_reader.cpp
@@ -5,6 +5,8 @@
 
 namespace http = boost::beast::http;
 constexpr std::size_t kMaxIdleBufferBytes = 4096;  // for an idle persistent connection
+// Largest part of a body that a client's kernel holds unsent: Linux's default limit (net.ipv4.tcp_wmem).
+constexpr std::uint64_t kMaxClientSendBufferBytes = 4u << 20;
 
 }  // namespace
 
@@ -16,6 +18,18 @@
   parser_->header_limit(kMaxHeaderBytes);
 }
 
+std::size_t RequestReader::ArrivedBytes() const {
+  Error ignored;
+  return buffer_.size() + socket_.available(ignored);
+}
+
+bool RequestReader::IsBodyKnownIncomplete(std::size_t arrived_bytes, bool settled) const {
+  if (parser_->is_done() || !socket_.is_open()) return false;
+  const auto remaining_bytes = parser_->content_length_remaining();  // none: a chunked body can end anywhere
+  if (remaining_bytes && *remaining_bytes > arrived_bytes + kMaxClientSendBufferBytes) return true;
+  return settled && arrived_bytes == 0;
+}
+
 std::optional<std::uint64_t> RequestReader::length() const {
   const auto length = parser_->content_length();
   return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
@@ -50,23 +64,4 @@
   return ErrorPage(body_too_large ? 413 : head_too_large ? 431 : 400, ec.message());
 }
 
-void Upload::RequestData(DataCallback callback) {
-  data_requested_ = true;
-  if (!on_data_requested_) {
-    boost::asio::post(io_, [callback = std::move(callback)] { callback(Status::kBroken, {}); });
-    return;
-  }
-  callback_ = std::move(callback);
-  on_data_requested_();
-}
-
-void Upload::Deliver(Status status, std::string_view piece) {
-  if (const auto callback = std::exchange(callback_, nullptr)) callback(status, piece);
-}
-
-void Upload::Detach() {
-  on_data_requested_ = nullptr;
-  Deliver(Status::kBroken, {});
-}
-
 }  // namespace meadowyard
--- a/src/fronts/http/request_reader.hpp
+++ b/src/fronts/http/request_reader.hpp
@@ -66,6 +66,13 @@
   bool got_some() const { return parser_->got_some(); }
   bool head_done() const { return parser_->is_header_done(); }
   bool done() const { return parser_->is_done(); }
+  /// Bytes that have arrived after the part of the request that was read.
+  std::size_t ArrivedBytes() const;
+  /// True if the client can't have sent the complete body yet; `arrived_bytes` is the result of
+  /// ArrivedBytes(). False if it may have: the end of the body has arrived, or may be held back at the client
+  /// because unread data fills the buffers in between. `settled`: the client has had time to send what it
+  /// held back earlier.
+  bool IsBodyKnownIncomplete(std::size_t arrived_bytes, bool settled) const;
   /// The body length by Content-Length, if there is one.
   std::optional<std::uint64_t> length() const;
   /// Data that was read beyond the current request.
@@ -109,35 +116,6 @@
 /// The error page for a malformed message: 413, 431 or 400.
 Page MalformedPage(boost::system::error_code ec);
 
-/// The part of a long request body that is still to be received; the request's handler reads it from here. It
-/// may outlive the client connection.
-class Upload : public core::BodySource {
- public:
-  /// `on_data_requested` makes the connection read a piece, which it passes to Deliver().
-  Upload(boost::asio::io_context& io, std::optional<std::uint64_t> size,
-         std::function<void()> on_data_requested)
-      : io_(io), size_(size), on_data_requested_(std::move(on_data_requested)) {}
-
-  void RequestData(DataCallback callback) override;
-  void Cancel() override {}
-  std::optional<std::uint64_t> length() const override { return size_; }
-  bool data_requested() const override { return data_requested_; }
-
-  bool is_waiting() const { return callback_ != nullptr; }
-  /// Passes a piece, or the end of the body, to the pending RequestData() callback, if there is one.
-  void Deliver(Status status, std::string_view piece);
-  /// Disconnects this from the client connection: a pending request for data, and each later one, gets
-  /// kBroken.
-  void Detach();
-
- private:
-  boost::asio::io_context& io_;
-  const std::optional<std::uint64_t> size_;
-  std::function<void()> on_data_requested_;
-  DataCallback callback_;
-  bool data_requested_ = false;
-};
-
 }  // namespace meadowyard
 
 #endif  // MEADOWYARD_FRONTS_HTTP_REQUEST_READER_HPP_
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -215,9 +215,15 @@
   id_ = request.id;
   EnterPhase(Phase::kAwaitingAnswer);
   if (!reader_.done()) {
-    upload_ = std::make_shared<Upload>(server_.io_, reader_.length(), [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) self->ReadUploadPiece();
-    });
+    const Upload::Connection connection = {[weak = weak_from_this()] {
+                                             if (const auto self = weak.lock()) self->ReadUploadPiece();
+                                           },
+                                           [weak = weak_from_this()](bool settled) {
+                                             const auto self = weak.lock();
+                                             return self && self->reader_.IsBodyKnownIncomplete(
+                                                                self->reader_.ArrivedBytes(), settled);
+                                           }};
+    upload_ = std::make_shared<Upload>(server_.io_, reader_.length(), request.earliest_sent_at, connection);
     request.body_source = upload_;
   }
   leave_watch_.Begin(/*read_ahead=*/upload_ == nullptr);
@@ -230,11 +236,15 @@
     asio::post(server_.io_, [this, self = shared_from_this()] { OnUploadComplete(); });
     return;
   }
+  upload_->ObserveClient();
+  const bool awaits_client = reader_.ArrivedBytes() == 0;
   reader_.ReadBodyPiece(
-      shared_from_this(), [this, generation = generation_](Error ec, std::string_view piece) {
+      shared_from_this(), [this, awaits_client, generation = generation_](Error ec, std::string_view piece) {
         if (phase_ == Phase::kClosed || generation_ != generation || !upload_ || !upload_->is_waiting())
           return;
         body_progress_at_ = core::Now();
+        // The piece arrived after the last check of all sockets.
+        if (awaits_client && upload_->IsSettled()) upload_->SetIncompleteAt(server_.LastSocketCheck());
         if (ec) return OnUploadError(ec);
         if (piece.empty() && reader_.done()) return OnUploadComplete();
         const auto upload = upload_;  // keeps it alive: its receiver may end the request
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -12,6 +12,7 @@
 #include "fronts/http/client_server.hpp"
 #include "fronts/http/leave_watch.hpp"
 #include "fronts/http/request_reader.hpp"
+#include "fronts/http/upload.hpp"
 
 namespace meadowyard {
 
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -19,6 +19,7 @@
 // An idle connection is closed after this part of the hosts' idle timeout, before the host closes it.
 constexpr double kIdleTimeoutFraction = 1.0 / 3;
 constexpr Millis kMaxStreamStallMs = 10000;  // longest time without any byte of a streamed body
+constexpr Millis kTimerRounding = 0.5;  // timers are rounded and may fire this long before their deadline
 constexpr Millis kNoDeadline = std::numeric_limits<Millis>::infinity();
 
 }  // namespace
@@ -32,7 +33,7 @@
       writer_(socket_,
               {[this] { return shared_from_this(); }, [this] { OnRequestWritten(); },
                [this] { End(AttemptResult::kConnectFailed); }, [this] { End(AttemptResult::kNotSent); },
-               [this] { ArmTimer(core::Now() + kMaxStreamStallMs); }, [this] { DisarmTimer(); }}),
+               [this] { OnUploadStalled(); }, [this] { DisarmTimer(); }}),
       reader_(socket_,
               {[this] { return shared_from_this(); },
                [this](AttemptResult result, core::ResponseMessage response, bool keep_alive) {
@@ -135,6 +136,7 @@
 
 void HostPool::Connection::StartJob(Job job) {
   job_ = std::move(job);
+  stall_ends_at_ = 0;
   ++idle_wait_generation_;  // invalidates the pending wait of the idle state
   pool_.active_[job_->attempt] = shared_from_this();
 }
@@ -160,12 +162,27 @@
   });
 }
 
-void HostPool::Connection::DisarmTimer() { deadline_ = kNoDeadline; }
+void HostPool::Connection::DisarmTimer() {
+  deadline_ = kNoDeadline;
+  stall_ends_at_ = 0;
+}
+
+void HostPool::Connection::OnUploadStalled() {
+  stall_ends_at_ = core::Now() + kMaxStreamStallMs;
+  ArmTimer(std::min(stall_ends_at_, UploadDeadline()));
+}
+
+Millis HostPool::Connection::UploadDeadline() const {
+  return job_->body_source->EarliestCompleteAt() + job_->upload_timeout;
+}
 
 void HostPool::Connection::OnTimeout() {
   if (deadline_ == kNoDeadline) return;
-  // Up to 0.5 ms early counts as expired: timers are rounded and may fire slightly before the deadline.
-  if (core::Now() < deadline_ - 0.5) return ArmTimer(deadline_);
+  if (core::Now() < deadline_ - kTimerRounding) return ArmTimer(deadline_);
+  if (stall_ends_at_ > 0) {  // the client's last bytes may be known to be missing by now
+    const Millis stall_deadline = std::min(stall_ends_at_, UploadDeadline());
+    if (core::Now() < stall_deadline - kTimerRounding) return ArmTimer(stall_deadline);
+  }
   if (!job_) {
     pool_.RemoveIdle(host_, this);
     return Close();
@@ -187,12 +204,17 @@
 
 void HostPool::Connection::Write() {
   const auto request = std::exchange(job_->message, nullptr);
-  writer_.Write(*request, job_->body_source,
-                job_->body_source ? job_->response_timeout : job_->deadline - core::Now());
+  const Millis timeout = job_->body_source ? std::min(job_->response_timeout, UploadDeadline() - core::Now())
+                                           : job_->deadline - core::Now();
+  writer_.Write(*request, job_->body_source, timeout);
 }
 
 void HostPool::Connection::OnRequestWritten() {
-  if (job_->body_source) ArmTimer(job_->deadline = core::Now() + job_->response_timeout);
+  stall_ends_at_ = 0;
+  if (job_->body_source) {
+    job_->deadline = std::min(core::Now() + job_->response_timeout, UploadDeadline());
+    ArmTimer(job_->deadline);
+  }
   job_->body_source.reset();
   job_->on_written();
   reader_.Read();
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -57,6 +57,10 @@
   void ArmTimer(Millis deadline_time);
   void DisarmTimer();
   void OnTimeout();
+  // The host accepts no more of a body that is still arriving.
+  void OnUploadStalled();
+  // When an upload ends at the latest: its client may have sent the last byte and wait for the answer.
+  Millis UploadDeadline() const;
   void OnConnected(boost::system::error_code ec);
   void Write();
   void OnRequestWritten();
@@ -71,8 +75,9 @@
   boost::asio::steady_timer timer_;
   RequestWriter writer_;
   ResponseReader reader_;
-  Millis deadline_ = 0;      // end of the job or of the idle period; kNoDeadline: none
-  Millis timer_expiry_ = 0;  // when the pending timer expires; 0: none is pending
+  Millis deadline_ = 0;       // end of the job or of the idle period; kNoDeadline: none
+  Millis timer_expiry_ = 0;   // when the pending timer expires; 0: none is pending
+  Millis stall_ends_at_ = 0;  // end of a stalled upload, if its client's timeout is not earlier; 0: no stall
   Millis idle_since_ = 0;
   // Increased by each idle period and each job; an earlier wait for readability is ignored.
   std::uint64_t idle_wait_generation_ = 0;
--- /dev/null
+++ b/tests/upload_stall_test.cpp
@@ -0,0 +1,110 @@
+/// @file
+/// Long request bodies whose host accepts data late, slowly or never. The client's timeout counts from its
+/// last byte, which may wait in socket buffers where the gateway can't see it.
+#include <gtest/gtest.h>
+
+#include "core/clock.hpp"
+#include "raw_peers.hpp"
+#include "world.hpp"
+
+namespace meadowyard::testing {
+namespace {
+
+constexpr Millis kClientTimeout = 1000;
+// An answer that is later than this after the client's timeout counts as lost; 50 ms are the sockets' slack.
+constexpr Millis kMaxAnswerDelay = 500 + 50;
+constexpr std::size_t kMaxReadBytes = 256 * 1024;  // that the host reads at once
+constexpr std::size_t kBodyBytes = 5000000;  // more than the buffers between the gateway and a host hold
+
+std::string UploadHead(const std::string& id, std::size_t length) {
+  return "POST /api HTTP/1.1\r\nHost: b\r\nReq-Id: " + id +
+         "\r\nReq-Kind: pay\r\nReq-Deadline: " + std::to_string(static_cast<int>(kClientTimeout)) +
+         "m\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+// A gateway with one host, which reads from its connections only as far as the test tells it.
+struct UploadWorld {
+  UploadWorld() : host(world.io, [](const std::shared_ptr<RawEnd>& end) { end->reads_enabled = false; }) {
+    world.SetDiscoveredHosts(50, {Member("h0", host.address())}, true);
+    EXPECT_TRUE(world.Until([&] { return world.discovery.requests.size() >= 2; }));
+  }
+  // Reads what the host has received by now, up to `max_bytes`, and returns the number of bytes.
+  std::size_t ReadAtHost(std::size_t max_bytes) {
+    if (host.ends.empty()) return 0;
+    error_code ec;
+    host.ends[0]->socket.non_blocking(true);
+    return host.ends[0]->socket.read_some(asio::buffer(piece, max_bytes), ec);
+  }
+
+  World world{1, TestSettings(), 300, true};
+  RawServer host;
+  std::string piece = std::string(kMaxReadBytes, '\0');
+};
+
+// How the host treats the upload.
+struct HostCase {
+  const char* name;
+  std::size_t bytes_per_read;  // what the host reads each time; 0: nothing
+  Millis read_interval;
+  Millis resumes_after;  // after the client's last byte; from then on the host reads everything
+  std::string status;    // of the client's answer
+};
+
+struct StalledUpload : ::testing::TestWithParam<HostCase> {};
+
+// Guards against an upload that gets no answer until 10 s have passed, although its client gave up long
+// before. A host without the complete request can't have executed it, so the client may retry it: 503.
+TEST_P(StalledUpload, IsAnsweredWithinItsClientsTimeout) {
+  const HostCase& c = GetParam();
+  UploadWorld fixture;
+  const auto client = RawConnect(fixture.world.io, fixture.world.gateway->address());
+  client->SendBytes(UploadHead("r1", kBodyBytes) + std::string(kBodyBytes, 'x'));
+  ASSERT_TRUE(fixture.world.Until([&] { return client->sent_byte_count > kBodyBytes; }));
+  const Millis sent_at = core::Now();
+  Millis next_read_at = 0;
+  ASSERT_TRUE(fixture.world.Until([&] {
+    const bool resumed = core::Now() - sent_at > c.resumes_after;
+    if (resumed || (c.bytes_per_read > 0 && core::Now() >= next_read_at)) {
+      fixture.ReadAtHost(resumed ? kMaxReadBytes : c.bytes_per_read);
+      next_read_at = core::Now() + c.read_interval;
+    }
+    return client->received_byte_count > 0 || client->is_read_closed();
+  }));
+  EXPECT_LE(core::Now() - sent_at, kClientTimeout + kMaxAnswerDelay);
+  EXPECT_EQ(client->received_bytes.substr(0, 12), "HTTP/1.1 " + c.status);
+  EXPECT_EQ(client->received_bytes.find("HTTP/1.1 ", 9), std::string::npos) << "answered twice";
+  EXPECT_TRUE(fixture.world.Until([&] { return fixture.world.ReadMetrics()["current"] == 0; }));
+}
+
+constexpr Millis kNever = 1e9;
+INSTANTIATE_TEST_SUITE_P(Host, StalledUpload,
+                         ::testing::Values(HostCase{"ReadsNothing", 0, 0, kNever, "503"},
+                                           HostCase{"ReadsTooSlowly", 20000, 50, kNever, "503"},
+                                           HostCase{"ReadsAllLateAndNeverAnswers", 0, 0, 700, "502"}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against uploads that are cut off because their client sends for longer than its timeout: that counts
+// from the last byte.
+TEST(Upload, MayTakeLongerThanItsClientsTimeout) {
+  constexpr std::size_t kPieces = 60, kPieceBytes = 2500;
+  constexpr Millis kPieceInterval = 50;
+  World world;
+  world.host().serve = [](const Peer::ReceivedRequest& request) {
+    request.Answer(200, std::to_string(request.http.body().size()));
+  };
+  const auto client = RawConnect(world.io, world.gateway->address());
+  client->SendBytes(UploadHead("r1", kPieces * kPieceBytes));
+  const Millis started_at = core::Now();
+  for (std::size_t sent = 0; sent < kPieces; ++sent) {
+    client->SendBytes(std::string(kPieceBytes, 'x'));
+    const Millis next_at = core::Now() + kPieceInterval;
+    ASSERT_TRUE(world.Until([&] { return core::Now() >= next_at; }));
+  }
+  ASSERT_GT(core::Now() - started_at, 2 * kClientTimeout);
+  ASSERT_TRUE(world.Until([&] { return client->received_byte_count > 0; }));
+  EXPECT_EQ(client->received_bytes.substr(0, 12), "HTTP/1.1 200");
+  EXPECT_TRUE(client->received_bytes.ends_with(std::to_string(kPieces * kPieceBytes)));
+}
+
+}  // namespace
+}  // namespace meadowyard::testing
