Pass on the state of a hot restart as fast as the successor reads it

Hosts out in the operators' pools were forgotten before any number of hosts.

Cause: the state was written to a Unix socket in one go without blocking, and given up when the socket's buffer was full. A maintenance call that met a full buffer was dropped without a log line. HandoverChannel now queues what must not be lost (32 MiB at most); the successor asks again if the connection ends early, and both log a failure. The operators' pools are part of the state, and follow as messages that earlier versions know.

--- a/src/app/edge_service.cpp
+++ b/src/app/edge_service.cpp
@@ -1,6 +1,7 @@
 #include "app/edge_service.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "app/decision_log.hpp"
@@ -112,6 +113,7 @@
       pool->dialer.SetTimes(times);
     }
     pool->Update(spec);
+    for (const std::string& host : in_maintenance_) pool->core.Report(MaintenanceStarted{host});
   }
   for (auto it = pools_.begin(); it != pools_.end();) {
     const EdgePool* const spec = config.FindPool(it->first);
@@ -188,7 +190,19 @@
                      [&](const auto& entry) { return entry.second->core.policy().IsKnown(host); });
 }
 
+std::vector<std::string> EdgeService::HostsInMaintenance() const {
+  std::vector<std::string> hosts;
+  std::copy_if(in_maintenance_.begin(), in_maintenance_.end(), std::back_inserter(hosts),
+               [this](const std::string& host) { return HasHost(host); });
+  return hosts;
+}
+
 void EdgeService::SetMaintenance(const std::string& host, bool in_maintenance) {
+  if (in_maintenance) {
+    in_maintenance_.insert(host);
+  } else {
+    in_maintenance_.erase(host);
+  }
   for (auto& [name, pool] : pools_) {
     if (!pool->core.policy().IsKnown(host)) continue;
     if (in_maintenance) {
--- a/src/app/edge_service.hpp
+++ b/src/app/edge_service.hpp
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "core/gateway.hpp"
 #include "edge/edge_config.hpp"
@@ -45,8 +47,10 @@
   /// The platform's settings, with the tunnels' class added if a pool of `config` uses the discovered hosts.
   /// Throws EdgeError if the platform's settings have a class of that name.
   static Settings AddTunnelClass(Settings settings, const EdgeConfig& config);
-  /// Starts or ends the maintenance of a host in each pool of the file that lists it.
+  /// Starts or ends the maintenance of a host in each pool of the file that lists it, now or after a reload.
   void SetMaintenance(const std::string& host, bool in_maintenance);
+  /// The hosts in maintenance that a pool of the file lists.
+  std::vector<std::string> HostsInMaintenance() const;
   /// Whether a pool of the file lists this host.
   bool HasHost(const std::string& host) const;
   /// Fails all requests for tunnels and closes all open tunnels, before the process ends.
@@ -71,6 +75,7 @@
   const DiscoveredPool discovered_pool_;
   std::map<std::string, std::unique_ptr<Pool>>
       pools_;  // a pool that a reload removed stays until its last tunnel has ended
+  std::set<std::string> in_maintenance_;  // all hosts that operators have put into maintenance
   TunnelServer front_;
 };
 
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -109,6 +109,10 @@
     }
     edge_.emplace(io, clock_, edge_config_, settings_, config.connect_timeout, config.seed,
                   DiscoveredPoolForTunnels(), inherited_listeners);
+    if (state) {
+      for (const std::string& host : state->learned.in_maintenance) edge_->SetMaintenance(host, true);
+      for (const std::string& host : state->pool_hosts_in_maintenance) edge_->SetMaintenance(host, true);
+    }
   }
   if (config.admin_address) {
     admin_.emplace(io, *config.admin_address, operations::AdminServer::Limits(), *this);
@@ -129,6 +133,7 @@
   for (const auto& [id, host] : endpoints_) state.hosts.endpoints.push_back(host);
   state.learned = core_.policy().Snapshot();
   if (edge_) state.edge_configuration = edge_->config().text;
+  state.pool_hosts_in_maintenance = PoolHostsInMaintenance();
   state.descriptors = CountDescriptors();
   return operations::SerializeHandoverState(state);
 }
@@ -163,6 +168,10 @@
   return listeners;
 }
 
+std::vector<std::string> Service::PoolHostsInMaintenance() {
+  return edge_ ? edge_->HostsInMaintenance() : std::vector<std::string>();
+}
+
 std::size_t Service::CountDescriptors() {
   return clients_.sessions() + hosts_.connections() + kInternalSockets;
 }
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -97,6 +97,7 @@
   std::string SerializeState() override;
   int ClientListener() override;
   std::vector<operations::TunnelListener> TunnelListeners() override;
+  std::vector<std::string> PoolHostsInMaintenance() override;
   std::size_t CountDescriptors() override;
   void OnSuccessorServing() override;
   void OnSuccessorLost() override;
--- a/src/operations/handover_channel.cpp
+++ b/src/operations/handover_channel.cpp
@@ -1,5 +1,6 @@
 #include "operations/handover_channel.hpp"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -7,8 +8,11 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <cerrno>
 #include <cstring>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
 #include <utility>
-#include <vector>
 
 namespace meadowyard::operations {
 namespace {
@@ -50,7 +54,7 @@
 
 }  // namespace
 
-bool SendMessage(int socket, const OutgoingMessage& message) {
+SendStatus TrySendMessage(int socket, const OutgoingMessage& message) {
   char kind_letter = static_cast<char>(message.kind);
   // iovec has no pointer to const, but sendmsg only reads the text.
   std::array<iovec, 2> segments = {
@@ -60,12 +64,19 @@
   header.msg_iovlen = segments.size();
   ControlBuffer control;
   AttachDescriptors(header, control, message);
-  return ::sendmsg(socket, &header, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
+  if (::sendmsg(socket, &header, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return SendStatus::kSent;
+  const bool would_block = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+  return would_block ? SendStatus::kWouldBlock : SendStatus::kFailed;
+}
+
+bool SendMessage(int socket, const OutgoingMessage& message) {
+  return TrySendMessage(socket, message) == SendStatus::kSent;
 }
 
 ReceiveResult ReceiveMessage(int socket) {
-  std::vector<char> packet(1 + kMaxMessageTextBytes);
-  iovec segment = {packet.data(), packet.size()};
+  constexpr std::size_t kMaxPacketBytes = 1 + kMaxMessageTextBytes;
+  const auto packet = std::make_unique_for_overwrite<char[]>(kMaxPacketBytes);
+  iovec segment = {packet.get(), kMaxPacketBytes};
   ControlBuffer control;
   msghdr header{};
   header.msg_iov = &segment;
@@ -80,12 +91,47 @@
     return result;
   }
   result.status = ReceiveStatus::kReceived;
-  result.message.kind = static_cast<HandoverMessageKind>(packet.front());
-  result.message.text.assign(packet.data() + 1, static_cast<std::size_t>(size) - 1);
+  result.message.kind = static_cast<HandoverMessageKind>(packet[0]);
+  result.message.text.assign(packet.get() + 1, static_cast<std::size_t>(size) - 1);
   DetachDescriptors(header, result.message);
   return result;
 }
 
+namespace {
+
+/// A message that waits until the other process has read earlier ones.
+struct QueuedMessage {
+  [[nodiscard]] OutgoingMessage View() const {
+    return {.kind = kind,
+            .text = text,
+            .descriptor = descriptor.get(),
+            .second_descriptor = second_descriptor.get()};
+  }
+
+  HandoverMessageKind kind;
+  std::string text;
+  Descriptor descriptor;  // duplicates of the caller's, which it may close before this is sent
+  Descriptor second_descriptor;
+};
+
+Descriptor Duplicate(int descriptor) {
+  return Descriptor(descriptor < 0 ? -1 : ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0));
+}
+
+// std::nullopt if no descriptor is free.
+std::optional<QueuedMessage> CopyMessage(const OutgoingMessage& message) {
+  QueuedMessage copy{.kind = message.kind,
+                     .text = std::string(message.text),
+                     .descriptor = Duplicate(message.descriptor),
+                     .second_descriptor = Duplicate(message.second_descriptor)};
+  const bool complete = (message.descriptor < 0 || copy.descriptor) &&
+                        (message.second_descriptor < 0 || copy.second_descriptor);
+  if (!complete) return std::nullopt;
+  return copy;
+}
+
+}  // namespace
+
 struct HandoverChannel::State : std::enable_shared_from_this<State> {
   State(asio::io_context& io, Descriptor fd) : socket(io, fd.release()) {}
 
@@ -112,8 +158,37 @@
     on_closed();
   }
 
+  // Sends queued messages until the socket's buffer is full. A failed channel is closed by ReceiveAll, so
+  // that no callback runs inside a call to Enqueue.
+  void Flush() {
+    while (!queue.empty()) {
+      const QueuedMessage& next = queue.front();
+      const SendStatus status = TrySendMessage(socket.native_handle(), next.View());
+      if (status == SendStatus::kWouldBlock) return AwaitWritable();
+      queued_bytes -= next.text.size();
+      queue.pop_front();
+      if (status == SendStatus::kFailed) return DropQueue();
+    }
+  }
+
+  void AwaitWritable() {
+    if (std::exchange(awaiting_writable, true)) return;
+    socket.async_wait(asio::posix::stream_descriptor::wait_write, [self = shared_from_this()](error_code ec) {
+      self->awaiting_writable = false;
+      if (!ec && self->socket.is_open()) self->Flush();
+    });
+  }
+
+  void DropQueue() {
+    queue.clear();
+    queued_bytes = 0;
+  }
+
   asio::posix::stream_descriptor socket;
   Callbacks callbacks;
+  std::deque<QueuedMessage> queue;
+  std::size_t queued_bytes = 0;  // of texts in `queue`
+  bool awaiting_writable = false;
 };
 
 HandoverChannel::HandoverChannel(asio::io_context& io, Descriptor socket)
@@ -130,7 +205,25 @@
 }
 
 bool HandoverChannel::Send(const OutgoingMessage& message) {
-  return state_->socket.is_open() && SendMessage(state_->socket.native_handle(), message);
+  return state_->socket.is_open() && state_->queue.empty() &&
+         SendMessage(state_->socket.native_handle(), message);
 }
 
+bool HandoverChannel::Enqueue(const OutgoingMessage& message) {
+  if (!state_->socket.is_open()) return false;
+  if (state_->queue.empty()) {
+    const SendStatus status = TrySendMessage(state_->socket.native_handle(), message);
+    if (status != SendStatus::kWouldBlock) return status == SendStatus::kSent;
+  }
+  if (state_->queued_bytes + message.text.size() > kMaxQueuedBytes) return false;
+  auto copy = CopyMessage(message);
+  if (!copy) return false;
+  state_->queued_bytes += copy->text.size();
+  state_->queue.push_back(std::move(*copy));
+  state_->AwaitWritable();
+  return true;
+}
+
+bool HandoverChannel::HasQueuedMessages() const { return !state_->queue.empty(); }
+
 }  // namespace meadowyard::operations
--- a/src/operations/handover_channel.hpp
+++ b/src/operations/handover_channel.hpp
@@ -45,6 +45,9 @@
 /// contains the data buffered in both directions, up to 32 KiB each, and some fields.
 inline constexpr std::size_t kMaxMessageTextBytes = 72 * 1024;
 
+/// Most bytes of text in a channel's queue: many times the state of the largest fleet (3,200 hosts, 2 MB).
+inline constexpr std::size_t kMaxQueuedBytes = 32u << 20;
+
 /// A message to be sent. It owns neither text nor descriptors: the kernel duplicates the descriptors, and the
 /// sender keeps its own.
 struct OutgoingMessage {
@@ -62,6 +65,15 @@
   Descriptor second_descriptor;  ///< Empty if none was passed.
 };
 
+/// The outcome of a call to TrySendMessage.
+enum class SendStatus {
+  kSent,
+  kWouldBlock,  ///< The socket's buffer is full: the other process has to read first.
+  kFailed,      ///< The other process has closed the channel, or it failed.
+};
+
+/// Sends without blocking.
+[[nodiscard]] SendStatus TrySendMessage(int socket, const OutgoingMessage& message);
 /// Sends without blocking; false if the message can't be sent now.
 [[nodiscard]] bool SendMessage(int socket, const OutgoingMessage& message);
 
@@ -99,8 +111,15 @@
 
   /// Starts to receive. Must be called once.
   void Start(Callbacks callbacks);
-  /// Sends without blocking; false if the message can't be sent now or the channel is closed.
+  /// Sends without blocking; false if the message can't be sent now or the channel is closed. For messages
+  /// that the caller can keep or drop: a socket's buffer holds about three of the longest ones.
   bool Send(const OutgoingMessage& message);
+  /// Sends a message that must not be lost: while the other process reads more slowly, copies of the message
+  /// and its descriptors are queued. Messages arrive in the order of the calls. False if the channel is
+  /// closed, no descriptor is free for a copy, or the queue is full.
+  [[nodiscard]] bool Enqueue(const OutgoingMessage& message);
+  /// x.
+  [[nodiscard]] bool HasQueuedMessages() const;
 
  private:
   struct State;
--- a/src/operations/handover_state.cpp
+++ b/src/operations/handover_state.cpp
@@ -72,13 +72,15 @@
 };
 
 std::string SerializeHandoverState(const HandoverState& state) {
-  const json stored = {{"file", state.configuration},
-                       {"discovery", state.discovery_address},
-                       {"hosts", discovery::SerializeEndpointList(state.hosts)},
-                       {"revision_known", state.revision_known},
-                       {"learned", state.learned},
-                       {"descriptors", state.descriptors},
-                       {"edge", state.edge_configuration}};
+  json stored = {{"file", state.configuration},
+                 {"discovery", state.discovery_address},
+                 {"hosts", discovery::SerializeEndpointList(state.hosts)},
+                 {"revision_known", state.revision_known},
+                 {"learned", state.learned},
+                 {"descriptors", state.descriptors},
+                 {"edge", state.edge_configuration}};
+  if (!state.pool_hosts_in_maintenance.empty())
+    stored["pool_hosts_in_maintenance"] = state.pool_hosts_in_maintenance;
   return stored.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -95,6 +97,7 @@
     state.learned = stored.at("learned").get<LearnedState>();
     state.descriptors = stored.at("descriptors").get<std::size_t>();
     state.edge_configuration = stored.value("edge", "");
+    state.pool_hosts_in_maintenance = stored.value("pool_hosts_in_maintenance", std::vector<std::string>());
     return state;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/operations/handover_state.hpp
+++ b/src/operations/handover_state.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "discovery/discovery.hpp"
 #include "meadowyard/policy.hpp"
@@ -22,12 +23,14 @@
   LearnedState learned;
   std::size_t descriptors = 0;     ///< The number of file descriptors that the process has open.
   std::string edge_configuration;  ///< Text of the operators' file in effect; empty if there is none.
+  /// Hosts in maintenance that the operators' file lists; `learned` has those from service discovery.
+  std::vector<std::string> pool_hosts_in_maintenance;
 };
 
 /// Formats the state as JSON text.
 std::string SerializeHandoverState(const HandoverState& state);
-/// std::nullopt if the text is malformed or lacks a field; only "edge" may be missing. Unknown fields, as
-/// sent by later versions, are ignored.
+/// std::nullopt if the text is malformed or lacks a field; only "edge" and "pool_hosts_in_maintenance" may be
+/// missing. Unknown fields, as sent by later versions, are ignored.
 [[nodiscard]] std::optional<HandoverState> ParseHandoverState(const std::string& text);
 
 }  // namespace meadowyard::operations
--- a/src/operations/hot_restart_coordinator.cpp
+++ b/src/operations/hot_restart_coordinator.cpp
@@ -14,6 +14,15 @@
 using Kind = HandoverMessageKind;
 
 constexpr Millis kDescriptorCountInterval = 100;  // between reports of open descriptors to the successor
+// Longer than a successor waits for the state (see RequestPredecessorState). One that has not read it by then
+// is disconnected, so that it neither keeps memory in use nor keeps another successor out.
+constexpr Millis kStateTransferTimeout = 4000;
+
+// The operator's call has been answered, so the change must not be lost.
+void Replicate(HandoverChannel& channel, const MaintenanceChange& change) {
+  if (channel.Enqueue(ToMessage(change))) return;
+  log::Write(log::Level::kWarn, "maintenance_not_replicated", {{"endpoint", change.host_id}});
+}
 
 }  // namespace
 
@@ -23,6 +32,7 @@
       delegate_(delegate),
       listener_(io, path, [this](Descriptor connection) { OnSuccessorConnected(std::move(connection)); }),
       may_have_successor_(!path.empty()),
+      state_timer_(io),
       descriptor_count_timer_(io) {
   if (!predecessor) return;
   predecessor_ = std::make_unique<HandoverChannel>(io_, std::move(predecessor));
@@ -33,7 +43,9 @@
 
 void HotRestartCoordinator::StartServing() {
   if (std::exchange(serving_, true)) return;
-  if (predecessor_) predecessor_->Send({.kind = Kind::kSuccessorReady});
+  if (predecessor_ && !predecessor_->Enqueue({.kind = Kind::kSuccessorReady})) {
+    log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "ready_not_sent"}});
+  }
   if (may_have_successor_ && !listener_.Listen()) {
     log::Write(log::Level::kWarn, "hot_restart_unavailable", {{"reason", "listen_failed"}});
   }
@@ -59,7 +71,7 @@
     case Kind::kMaintenanceEnded:
       if (const auto change = ToMaintenanceChange(message)) {
         delegate_.OnMaintenanceChanged(*change);
-        SendToSuccessor(ToMessage(*change));
+        if (successor_) Replicate(*successor_, *change);
       }
       return;
     default: return;  // unknown kind, sent by a later version
@@ -77,31 +89,50 @@
 // without a predecessor.
 void HotRestartCoordinator::OnSuccessorConnected(Descriptor connection) {
   if (successor_) return;
-  if (!SendState(connection.get())) {
-    log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "state_not_sent"}});
-    return;
-  }
   successor_ = std::make_unique<HandoverChannel>(io_, std::move(connection));
   successor_->Start({.on_message = [this](const IncomingMessage& message) { OnSuccessorMessage(message); },
                      .on_closed = [this] { OnSuccessorClosed(); }});
+  if (!EnqueueState(*successor_)) return FailStateTransfer();
+  StartStateTimer();
 }
 
-bool HotRestartCoordinator::SendState(int connection) {
+// Changes to the maintenance of hosts that are made from now on are queued behind the state. The successor
+// reads these once it serves; earlier versions take every message before kStateComplete for a part of the
+// state.
+bool HotRestartCoordinator::EnqueueState(HandoverChannel& channel) {
   const std::string state = delegate_.SerializeState();
   int client_listener = delegate_.ClientListener();  // sent with the first part only
   for (std::size_t sent = 0; sent < state.size(); sent += kMaxMessageTextBytes) {
     const std::string_view part = std::string_view(state).substr(sent, kMaxMessageTextBytes);
-    if (!SendMessage(connection, {.kind = Kind::kState, .text = part, .descriptor = client_listener})) {
-      return false;
-    }
+    if (!channel.Enqueue({.kind = Kind::kState, .text = part, .descriptor = client_listener})) return false;
     client_listener = -1;
   }
   for (const TunnelListener& listener : delegate_.TunnelListeners()) {
     const OutgoingMessage message = {
         .kind = Kind::kTunnelListener, .text = listener.name, .descriptor = listener.descriptor};
-    if (!SendMessage(connection, message)) return false;
+    if (!channel.Enqueue(message)) return false;
   }
-  return SendMessage(connection, {.kind = Kind::kStateComplete});
+  if (!channel.Enqueue({.kind = Kind::kStateComplete})) return false;
+  // Earlier versions don't find these hosts in the state.
+  for (const std::string& host : delegate_.PoolHostsInMaintenance()) {
+    if (!channel.Enqueue({.kind = Kind::kMaintenanceStarted, .text = host})) return false;
+  }
+  return true;
+}
+
+void HotRestartCoordinator::StartStateTimer() {
+  state_deadline_ = core::Now() + kStateTransferTimeout;
+  state_timer_.expires_after(core::ToDuration(kStateTransferTimeout));
+  state_timer_.async_wait([this](error_code ec) {
+    // An expired wait for an earlier successor may complete after the timer was set again.
+    const bool expired = !ec && core::Now() >= state_deadline_;
+    if (expired && successor_ && !successor_serving_ && successor_->HasQueuedMessages()) FailStateTransfer();
+  });
+}
+
+void HotRestartCoordinator::FailStateTransfer() {
+  log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "state_not_sent"}});
+  successor_.reset();
 }
 
 void HotRestartCoordinator::OnSuccessorMessage(const IncomingMessage& message) {
@@ -109,7 +140,7 @@
   const auto change = ToMaintenanceChange(message);
   if (!change) return;  // unknown kind, sent by a later version
   delegate_.OnMaintenanceChanged(*change);
-  if (predecessor_) predecessor_->Send(ToMessage(*change));
+  if (predecessor_) Replicate(*predecessor_, *change);
 }
 
 void HotRestartCoordinator::OnSuccessorReady() {
@@ -121,6 +152,7 @@
 }
 
 void HotRestartCoordinator::OnSuccessorClosed() {
+  if (!successor_serving_ && successor_->HasQueuedMessages()) return FailStateTransfer();
   successor_.reset();
   if (!std::exchange(successor_serving_, false)) return;
   log::Write(log::Level::kWarn, "hot_restart_abandoned", {{"reason", "successor_ended"}});
@@ -161,9 +193,8 @@
 }
 
 void HotRestartCoordinator::ReplicateMaintenance(const MaintenanceChange& change) {
-  const OutgoingMessage message = ToMessage(change);
-  if (predecessor_) predecessor_->Send(message);
-  SendToSuccessor(message);
+  if (predecessor_) Replicate(*predecessor_, change);
+  if (successor_) Replicate(*successor_, change);
 }
 
 }  // namespace meadowyard::operations
--- a/src/operations/hot_restart_coordinator.hpp
+++ b/src/operations/hot_restart_coordinator.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "meadowyard/policy.hpp"
 #include "operations/descriptor.hpp"
 #include "operations/handover_channel.hpp"
 #include "operations/handover_messages.hpp"
@@ -22,7 +23,9 @@
 /// Exchanges messages with the predecessor and the successor, and tracks which process serves. The steps of a
 /// hot restart:
 ///
-///  1. The successor connects and receives the state and the listening sockets. This process keeps serving.
+///  1. The successor connects and receives the state and the listening sockets, as fast as it reads them.
+///  This
+///     process keeps serving meanwhile.
 ///  2. The successor reports that it serves. This process passes idle connections to it and finishes the open
 ///     requests.
 ///  3. If the successor exits before this process does, this process serves again.
@@ -57,7 +60,9 @@
   void OnPredecessorMessage(IncomingMessage message);
   void OnPredecessorClosed();
   void OnSuccessorConnected(Descriptor connection);
-  [[nodiscard]] bool SendState(int connection);
+  [[nodiscard]] bool EnqueueState(HandoverChannel& channel);
+  void StartStateTimer();
+  void FailStateTransfer();
   void OnSuccessorMessage(const IncomingMessage& message);
   void OnSuccessorReady();
   void OnSuccessorClosed();
@@ -70,6 +75,8 @@
   std::unique_ptr<HandoverChannel> successor_;    // null: none, or it has exited
   SuccessorListener listener_;
   const bool may_have_successor_;
+  boost::asio::steady_timer state_timer_;  // limits how long the successor may take to read the state
+  Millis state_deadline_ = 0;
   boost::asio::steady_timer descriptor_count_timer_;
   bool serving_ = false;
   bool successor_serving_ = false;
--- a/src/operations/hot_restart_delegate.hpp
+++ b/src/operations/hot_restart_delegate.hpp
@@ -35,6 +35,8 @@
   /// The clients' listening socket, which the gateway owns.
   virtual int ClientListener() = 0;
   virtual std::vector<TunnelListener> TunnelListeners() = 0;
+  /// The hosts of the operators' pools that are in maintenance.
+  virtual std::vector<std::string> PoolHostsInMaintenance() = 0;
   /// The number of file descriptors that this process has open.
   virtual std::size_t CountDescriptors() = 0;
   /// The successor has started to serve: the gateway passes its idle connections to it.
--- a/src/operations/predecessor_state.cpp
+++ b/src/operations/predecessor_state.cpp
@@ -3,9 +3,11 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "core/clock.hpp"
+#include "log/log.hpp"
 #include "operations/handover_channel.hpp"
 #include "operations/unix_socket.hpp"
 
@@ -14,6 +16,11 @@
 
 // Half of the 6 s within which the platform requires a new process to serve.
 constexpr Millis kStateTimeout = 3000;
+// Between requests, each of which costs the predecessor the serialisation of its state.
+constexpr Millis kRetryInterval = 200;
+// After a message the next one is awaited without sleeping for this long. Predecessors of earlier versions
+// give up as soon as the socket's buffer is full, about three messages ahead of this process.
+constexpr Millis kBusyWaitTime = 5;
 // poll(2) takes integral milliseconds: a shorter wait would be truncated to 0 and not block at all.
 constexpr Millis kMinPollTimeout = 1;
 
@@ -32,19 +39,18 @@
   received.state += message.text;
 }
 
-// Receives messages until the state is complete; false if the channel closes or the timeout expires first.
-bool ReceiveState(int channel, PredecessorState& received) {
-  const Millis deadline = core::Now() + kStateTimeout;
-  while (core::Now() < deadline) {
-    WaitUntilReadable(channel, deadline);
+// Receives messages until the state is complete; false if the channel closes or the deadline passes first.
+bool ReceiveState(int channel, Millis deadline, PredecessorState& received) {
+  Millis busy_wait_until = 0;
+  for (Millis now = core::Now(); now < deadline; now = core::Now()) {
+    if (now >= busy_wait_until) WaitUntilReadable(channel, deadline);
     ReceiveResult result = ReceiveMessage(channel);
-    while (result.status == ReceiveStatus::kReceived) {
-      const bool complete = result.message.kind == HandoverMessageKind::kStateComplete;
-      AddMessage(std::move(result.message), received);
-      if (complete) return true;
-      result = ReceiveMessage(channel);
-    }
     if (result.status == ReceiveStatus::kClosed) return false;
+    if (result.status == ReceiveStatus::kNothingPending) continue;
+    const bool complete = result.message.kind == HandoverMessageKind::kStateComplete;
+    AddMessage(std::move(result.message), received);
+    if (complete) return static_cast<bool>(received.client_listener);
+    busy_wait_until = core::Now() + kBusyWaitTime;
   }
   return false;
 }
@@ -53,11 +59,17 @@
 
 std::optional<PredecessorState> RequestPredecessorState(const std::string& path) {
   if (path.empty()) return std::nullopt;
-  PredecessorState received;
-  received.channel = ConnectUnixSocket(path);
-  if (!received.channel || !ReceiveState(received.channel.get(), received)) return std::nullopt;
-  if (!received.client_listener) return std::nullopt;
-  return received;
+  const Millis deadline = core::Now() + kStateTimeout;
+  for (;;) {
+    PredecessorState received;
+    received.channel = ConnectUnixSocket(path);
+    if (!received.channel) return std::nullopt;
+    if (ReceiveState(received.channel.get(), deadline, received)) return received;
+    if (core::Now() + kRetryInterval >= deadline) break;
+    std::this_thread::sleep_for(core::ToDuration(kRetryInterval));
+  }
+  log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "state_not_received"}});
+  return std::nullopt;
 }
 
 }  // namespace meadowyard::operations
--- a/src/operations/predecessor_state.hpp
+++ b/src/operations/predecessor_state.hpp
@@ -21,8 +21,10 @@
 };
 
 /// Requests the state of the process that listens at `path` (see config::HandoverSocketPath). Blocks for up
-/// to three seconds. std::nullopt if `path` is empty, no process of this user listens there, or the state is
-/// not complete in time.
+/// to three seconds, and asks again if that process ends the connection before the state is complete: it may
+/// be busy with another successor, which then listens at `path`, or be of an earlier version, which gives up
+/// while the state waits to be read. std::nullopt if `path` is empty, no process of this user listens there,
+/// or the state is not complete in time.
 [[nodiscard]] std::optional<PredecessorState> RequestPredecessorState(const std::string& path);
 
 }  // namespace meadowyard::operations
--- a/tests/operations/handover_format_test.cpp
+++ b/tests/operations/handover_format_test.cpp
@@ -460,6 +460,7 @@
     return {{.name = "first", .descriptor = listener.get()},
             {.name = "second", .descriptor = listener.get()}};
   }
+  std::vector<std::string> PoolHostsInMaintenance() override { return {}; }
   std::size_t CountDescriptors() override { return 7; }
   void OnSuccessorServing() override { events.emplace_back("successor serving"); }
   void OnSuccessorLost() override { events.emplace_back("successor lost"); }
--- a/tests/operations/hot_restart_test.cpp
+++ b/tests/operations/hot_restart_test.cpp
@@ -7,10 +7,13 @@
 #include <future>
 
 #include "config/config.hpp"
+#include "core/clock.hpp"
 #include "operations/handover_state.hpp"
 #include "operations/hot_restart_coordinator.hpp"
 #include "operations/hot_restart_delegate.hpp"
 #include "operations/predecessor_state.hpp"
+#include "operations/successor_listener.hpp"
+#include "operations/unix_socket.hpp"
 #include "peers.hpp"
 
 namespace meadowyard::testing {
@@ -22,6 +25,7 @@
   std::string SerializeState() override { return state; }
   int ClientListener() override { return listener; }
   std::vector<operations::TunnelListener> TunnelListeners() override { return {}; }
+  std::vector<std::string> PoolHostsInMaintenance() override { return pool_hosts_in_maintenance; }
   std::size_t CountDescriptors() override { return 7; }
   void OnSuccessorServing() override { ++successors_serving; }
   void OnSuccessorLost() override { ++successors_lost; }
@@ -42,6 +46,7 @@
     operations::Descriptor connection;
   };
   std::string state;
+  std::vector<std::string> pool_hosts_in_maintenance;
   int listener = -1;
   int successors_serving = 0;
   int successors_lost = 0;
@@ -121,6 +126,106 @@
   EXPECT_FALSE(old_coordinator.PassClientConnection("", 0));
 }
 
+// A predecessor whose state is that of a large fleet: many times what the channel's socket buffers hold.
+struct LargePredecessor {
+  LargePredecessor() : client_listener(io, Loopback()) {
+    for (int i = 0; gateway.state.size() < 3000000; ++i) gateway.state += std::to_string(i) + ' ';
+    gateway.listener = client_listener.native_handle();
+    gateway.pool_hosts_in_maintenance = {"pool-host"};
+    coordinator.emplace(io, path, operations::Descriptor(), gateway);
+    coordinator->StartServing();
+  }
+  // A successor that has connected and been accepted, and reads only when the test does.
+  operations::Descriptor ConnectSuccessor() {
+    operations::Descriptor channel = operations::ConnectUnixSocket(path);
+    EXPECT_TRUE(channel);
+    while (io.run_one_for(std::chrono::milliseconds(20)) > 0) {
+    }
+    return channel;
+  }
+  // Requests the state as a starting process does, in a thread, while this predecessor's event loop runs.
+  std::optional<operations::PredecessorState> RequestState(const std::function<void()>& meanwhile = [] {}) {
+    auto request = std::async(std::launch::async, [&] { return operations::RequestPredecessorState(path); });
+    EXPECT_TRUE(RunUntil(io, [&] {
+      meanwhile();
+      return request.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    }));
+    return request.get();
+  }
+
+  asio::io_context io;
+  TemporaryFolder folder;
+  const std::string path = meadowyard::config::HandoverSocketPath(folder.path, "x");
+  tcp::acceptor client_listener;
+  FakeGateway gateway;
+  std::optional<operations::HotRestartCoordinator> coordinator;
+};
+
+// Guards against a hot restart without its state, which forgot the hosts in maintenance of a large fleet: the
+// successor reads more slowly than the predecessor writes. Changes made meanwhile arrive after the state.
+TEST(HotRestartCoordinator, HandsOverAStateThatTheSuccessorReadsSlowly) {
+  LargePredecessor predecessor;
+  const operations::Descriptor channel = predecessor.ConnectSuccessor();
+  predecessor.coordinator->ReplicateMaintenance({.host_id = "h1", .in_maintenance = true});
+  std::string state;
+  std::vector<std::string> changes;
+  bool complete = false;
+  ASSERT_TRUE(RunUntil(predecessor.io, [&] {
+    const operations::ReceiveResult received = operations::ReceiveMessage(channel.get());
+    if (received.status != operations::ReceiveStatus::kReceived) return false;
+    const auto change = operations::ToMaintenanceChange(received.message);
+    if (change) changes.push_back((complete ? "" : "before the end: ") + change->host_id);
+    if (received.message.kind == operations::HandoverMessageKind::kState) state += received.message.text;
+    complete = complete || received.message.kind == operations::HandoverMessageKind::kStateComplete;
+    return changes.size() == 2;
+  }));
+  EXPECT_TRUE(state == predecessor.gateway.state)
+      << state.size() << " of " << predecessor.gateway.state.size();
+  EXPECT_EQ(changes, (std::vector<std::string>{"pool-host", "h1"}));
+}
+
+// Guards against a successor that starts without its predecessor's state: the first request fails, because
+// the predecessor still serves a successor that has stalled in the middle of the state and then dies.
+TEST(HotRestartCoordinator, ServesTheNextSuccessorAfterOneDiedWhileReading) {
+  LargePredecessor predecessor;
+  operations::Descriptor stalled = predecessor.ConnectSuccessor();
+  const Millis started_at = core::Now();
+  const auto received = predecessor.RequestState([&] {
+    constexpr Millis kTimeOfDeath = 300;
+    if (core::Now() - started_at > kTimeOfDeath) stalled = operations::Descriptor();
+  });
+  ASSERT_TRUE(received);
+  EXPECT_TRUE(received->state == predecessor.gateway.state);
+  EXPECT_TRUE(received->client_listener);
+}
+
+// Guards against a successor that starts as if it had no predecessor when an earlier version gives up
+// sending: it ends the connection in the middle of the state, and sends the complete state at the next
+// request.
+TEST(HotRestartCoordinator, RequestsTheStateAgainFromAPredecessorThatGaveUp) {
+  asio::io_context io;
+  TemporaryFolder folder;
+  const std::string path = meadowyard::config::HandoverSocketPath(folder.path, "x");
+  tcp::acceptor client_listener(io, Loopback());
+  int requests = 0;
+  operations::SuccessorListener listener(io, path, [&](operations::Descriptor connection) {
+    const bool gives_up = ++requests < 3;
+    EXPECT_TRUE(operations::SendMessage(connection.get(), {.kind = operations::HandoverMessageKind::kState,
+                                                           .text = gives_up ? "first part" : "state",
+                                                           .descriptor = client_listener.native_handle()}));
+    if (gives_up) return;
+    EXPECT_TRUE(operations::SendMessage(connection.get(), {}));  // kStateComplete
+  });
+  ASSERT_TRUE(listener.Listen());
+  auto request = std::async(std::launch::async, [&] { return operations::RequestPredecessorState(path); });
+  ASSERT_TRUE(
+      RunUntil(io, [&] { return request.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
+  const auto received = request.get();
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->state, "state");
+  EXPECT_EQ(requests, 3);
+}
+
 // Guards against state lost in a hot restart: hosts in maintenance, ejected hosts, hosts in slow start, and
 // the latencies and rates measured so far.
 TEST(HandoverState, PreservesTheLearnedState) {
@@ -141,6 +246,7 @@
   state.learned.classes.push_back({"view", 20, 500, 3});
   state.learned.in_maintenance = {"h0", "h7"};
   state.learned.rate = 123;
+  state.pool_hosts_in_maintenance = {"pool-host"};
   const auto read = operations::ParseHandoverState(operations::SerializeHandoverState(state));
   ASSERT_TRUE(read);
   EXPECT_EQ(operations::SerializeHandoverState(*read), operations::SerializeHandoverState(state));
@@ -148,6 +254,7 @@
   EXPECT_EQ(read->hosts.endpoints[0].endpoint.state, EndpointState::kDraining);
   EXPECT_TRUE(read->learned.endpoints[0].ejected);
   EXPECT_EQ(read->learned.in_maintenance.size(), 2u);
+  EXPECT_EQ(read->pool_hosts_in_maintenance, state.pool_hosts_in_maintenance);
   EXPECT_FALSE(operations::ParseHandoverState("{}"));
   EXPECT_FALSE(operations::ParseHandoverState(operations::SerializeHandoverState(state).substr(0, 50)));
 }
--- a/tests/tunnel_process_test.cpp
+++ b/tests/tunnel_process_test.cpp
@@ -45,9 +45,16 @@
     rmdir(folder.c_str());
   }
   tcp::endpoint FreePort() { return Loopback(FreePortNumber()); }
+  void ReplaceInEdgeFile(char placeholder, const std::string& replacement) const {
+    std::stringstream text;
+    text << std::ifstream(folder + "/edge.toml").rdbuf();
+    std::string edge = text.str();
+    edge.replace(edge.find(placeholder), 1, replacement);
+    std::ofstream(folder + "/edge.toml") << edge;
+  }
   // Starts a process of the program and waits until it is serving.
   std::unique_ptr<Process> Start() {
-    const tcp::endpoint admin = FreePort();
+    admin = FreePort();
     auto process = std::make_unique<Process>(
         std::vector<std::pair<std::string, std::string>>{{"NODE_CONFIG", folder + "/config.json"},
                                                          {"NODE_LISTEN", ToText(listen)},
@@ -67,6 +74,12 @@
     EXPECT_EQ(admin_client.Await().body(), "yes\n") << process->Errors();
     return process;
   }
+  // The HTTP status of an operator's call to the process that was started last.
+  unsigned CallAdmin(const std::string& call) {
+    Client client(io, admin);
+    client.Send(call + " HTTP/1.1\r\nHost: a\r\n\r\n");
+    return client.Await().result_int();
+  }
   // Returns the exit status of a shell command; the host and discovery peers are served while it runs.
   int RunCommand(const std::string& command) {
     auto run = std::async(std::launch::async, [&] { return std::system(command.c_str()); });
@@ -78,6 +91,7 @@
   asio::io_context io;
   Peer discovery{io}, host{io};
   std::string folder;
+  tcp::endpoint admin;  // of the process that was started last
   tcp::endpoint listen, socks, socks_with_credentials, connect, connect_with_credentials;
 };
 
@@ -126,6 +140,32 @@
   }
 }
 
+// Guards against a new process that opens tunnels to a host that an operator has taken out of one of the
+// file's pools before the hot restart, and against a host that stays out after it was put back.
+TEST(TunnelProgram, KeepsHostsOfPoolsInMaintenanceAcrossAHotRestart) {
+  ProgramFixture fixture(
+      "[[user]]\nname = \"u\"\npassword = \"p\"\n[[pool]]\nname = \"echo\"\n[[pool.host]]\nid = "
+      "\"e\"\naddress = \"@\"\n[default]\npool = \"echo\"\n");
+  RawServer echo(fixture.io, RawServer::Echo);
+  fixture.ReplaceInEdgeFile('@', ToText(echo.address()));
+  const auto open_tunnel = [&] {
+    const auto client = RawConnect(fixture.io, fixture.connect);
+    client->SendBytes(ConnectCall("x.y:443"));
+    EXPECT_TRUE(RunUntil(fixture.io, [&] { return client->received_byte_count > 0; }));
+    return client->received_bytes.substr(0, 12);
+  };
+  auto old_process = fixture.Start();
+  EXPECT_EQ(open_tunnel(), "HTTP/1.1 200");
+  ASSERT_EQ(fixture.CallAdmin("PUT /maintenance/enter?target=e"), 200u);
+  EXPECT_EQ(open_tunnel(), "HTTP/1.1 503");
+  const auto new_process = fixture.Start();
+  old_process->Terminate();
+  ASSERT_TRUE(RunUntil(fixture.io, [&] { return old_process->Ended(); }));
+  EXPECT_EQ(open_tunnel(), "HTTP/1.1 503") << new_process->Errors();
+  ASSERT_EQ(fixture.CallAdmin("PUT /maintenance/exit?target=e"), 200u);
+  EXPECT_EQ(open_tunnel(), "HTTP/1.1 200") << new_process->Errors();
+}
+
 // Guards against data that is lost, repeated or changed in a tunnel that is handed over to a new process
 // while data is in transit. At the end each client half-closes, and the end of its stream must come back from
 // the host.
@@ -134,11 +174,7 @@
       "[[user]]\nname = \"u\"\npassword = \"p\"\n[[pool]]\nname = \"echo\"\n[[pool.host]]\nid = "
       "\"e\"\naddress = \"@\"\n[default]\npool = \"echo\"\n");
   RawServer echo(fixture.io, RawServer::Echo);
-  std::stringstream text;
-  text << std::ifstream(fixture.folder + "/edge.toml").rdbuf();
-  std::string edge = text.str();
-  edge.replace(edge.find('@'), 1, ToText(echo.address()));
-  std::ofstream(fixture.folder + "/edge.toml") << edge;
+  fixture.ReplaceInEdgeFile('@', ToText(echo.address()));
   auto old_process = fixture.Start();
   struct Stream {
     std::shared_ptr<RawEnd> end;
