Take over a maintenance call for a host that discovery has just removed

Found while looking at what else passes between two processes of a hot restart: the successor ignored a call that its predecessor had answered with yes, if discovery had removed the host before the successor's first list. Listed again, the host got requests. The decision module took calls for hosts that it knows alone; a replicated call now counts for any host.

--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -207,6 +207,9 @@
 /// normally restarted during maintenance.
 struct MaintenanceStarted {
   std::string endpoint;
+  /// Also for an endpoint that this Policy doesn't know (see Policy::IsKnown): another process of the
+  /// gateway, in a hot restart, knew it when the operator called.
+  bool even_if_unknown = false;
 };
 struct MaintenanceEnded {
   std::string endpoint;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -275,14 +275,20 @@
 bool Service::ChangeMaintenance(const operations::MaintenanceChange& change) {
   const bool known = core_.policy().IsKnown(change.host_id) || (edge_ && edge_->HasHost(change.host_id));
   if (!known) return false;
-  OnMaintenanceChanged(change);
+  ApplyMaintenance(change, /*even_if_unknown=*/false);
   hot_restart_->ReplicateMaintenance(change);
   return true;
 }
 
+// The other process knew the host when the operator called. Discovery may have removed it before this process
+// got its first list, and may list it again.
 void Service::OnMaintenanceChanged(const operations::MaintenanceChange& change) {
+  ApplyMaintenance(change, /*even_if_unknown=*/true);
+}
+
+void Service::ApplyMaintenance(const operations::MaintenanceChange& change, bool even_if_unknown) {
   if (change.in_maintenance) {
-    core_.Report(MaintenanceStarted{change.host_id});
+    core_.Report(MaintenanceStarted{change.host_id, even_if_unknown});
     hosts_.CloseIdleConnections(change.host_id);
   } else {
     core_.Report(MaintenanceEnded{change.host_id});
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -109,6 +109,8 @@
                    operations::Descriptor host) override;
   void OnMaintenanceChanged(const operations::MaintenanceChange& change) override;
 
+  /// See MaintenanceStarted::even_if_unknown.
+  void ApplyMaintenance(const operations::MaintenanceChange& change, bool even_if_unknown);
   /// This gateway's own discovery client has delivered `list`.
   void OnDiscoveryUpdate(const discovery::EndpointList& list);
   discovery::EndpointList CurrentEndpointList() const;
--- a/src/decision/decision_engine.cpp
+++ b/src/decision/decision_engine.cpp
@@ -108,7 +108,7 @@
 }
 
 void DecisionEngine::OnEvent(const MaintenanceStarted& event) {
-  if (!registry_.StartMaintenance(event.endpoint)) return;
+  if (!registry_.StartMaintenance(event.endpoint, event.even_if_unknown)) return;
   actions_.LogLimited({.event = Log::Event::kMaintenanceStarted, .endpoint = event.endpoint}, now_);
   subset_.Select();
 }
--- a/src/decision/endpoint_registry.cpp
+++ b/src/decision/endpoint_registry.cpp
@@ -90,8 +90,8 @@
   }
 }
 
-bool EndpointRegistry::StartMaintenance(const std::string& id) {
-  if (!IsKnown(id)) return false;
+bool EndpointRegistry::StartMaintenance(const std::string& id, bool even_if_unknown) {
+  if (!even_if_unknown && !IsKnown(id)) return false;
   const bool started = in_maintenance_.insert(id).second;
   if (!started) return false;
   if (EndpointRecord* const record = Find(id)) record->up = false;
--- a/src/decision/endpoint_registry.hpp
+++ b/src/decision/endpoint_registry.hpp
@@ -41,8 +41,9 @@
   void Apply(const EndpointUpdate& update, Millis now, const RestartHandler& on_restart);
 
   /// Puts an endpoint into maintenance. This is stored apart from the endpoint list, so that no update of the
-  /// list can end it. Returns false if the endpoint is unknown or already in maintenance.
-  bool StartMaintenance(const std::string& id);
+  /// list can end it. Returns false if the endpoint is already in maintenance, or unknown without
+  /// `even_if_unknown`.
+  bool StartMaintenance(const std::string& id, bool even_if_unknown);
   /// Ends an endpoint's maintenance; returns false if it was not in maintenance. An endpoint that has a
   /// record is treated as restarted at `now`.
   bool EndMaintenance(const std::string& id, Millis now, const RestartHandler& on_restart);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -368,6 +368,46 @@
   EXPECT_TRUE(RunUntil(harness.io, [&] { return harness.Metrics(predecessor)["cluster_unhealthy"] == 0; }));
 }
 
+// Guards against a maintenance call that the successor of a hot restart ignores, because discovery removed
+// the host before the successor's first list: the host has to stay out when discovery lists it again.
+TEST(Program, KeepsARemovedHostInMaintenanceAtTheSuccessor) {
+  ProgramHarness harness;
+  nlohmann::json list = harness.config["known"];
+  std::vector<Peer::ReceivedRequest> held_polls;
+  const auto answer_poll = [&](const Peer::ReceivedRequest& call) {
+    const std::string target(call.http.target());
+    const std::size_t after = target.find("after=");
+    const bool up_to_date =
+        after != std::string::npos && std::stoi(target.substr(after + 6)) >= list["revision"];
+    up_to_date ? held_polls.push_back(call) : call.Answer(200, list.dump());
+  };
+  harness.discovery.serve = answer_poll;
+  const auto publish = [&](int revision, std::vector<nlohmann::json> members) {
+    list = List(revision, true, std::move(members));
+    for (const auto& poll : std::exchange(held_polls, {})) answer_poll(poll);
+  };
+  const auto await_host_count = [&](const ProgramHarness::ProgramInstance& instance, int count) {
+    return RunUntil(harness.io, [&] { return harness.Metrics(instance)["cluster_size"] == count; });
+  };
+  auto predecessor = harness.Start();
+  ASSERT_TRUE(RunUntil(harness.io, [&] { return !held_polls.empty(); }));
+  publish(2, {Member("h0", harness.hosts[0]->address())});
+  ASSERT_TRUE(await_host_count(predecessor, 1));
+  auto successor = harness.Start();
+  ASSERT_TRUE(await_host_count(successor, 1));
+  EXPECT_EQ(harness.CallAdmin(predecessor, "PUT /maintenance/enter?target=h1"), 200u);
+  publish(3, {Member("h0", harness.hosts[0]->address()), Member("h1", harness.hosts[1]->address())});
+  ASSERT_TRUE(await_host_count(predecessor, 2));
+  ASSERT_TRUE(await_host_count(successor, 2));
+  EXPECT_EQ(harness.Metrics(successor)["cluster_unhealthy"], 1);
+  for (int i = 0; i < 20; ++i) {
+    Client client(harness.io, harness.listen_address);
+    client.Send(ApiCall("r" + std::to_string(i)));
+    EXPECT_EQ(client.Await().result_int(), 200u);
+  }
+  EXPECT_EQ(harness.RequestCount(1), 0u);
+}
+
 // Guards against an outage when the successor of a hot restart dies while the predecessor still runs.
 TEST(Program, PredecessorServesAgainAfterSuccessorDies) {
   ProgramHarness harness;
