--- a/src/operations/handover_channel.cpp
+++ b/src/operations/handover_channel.cpp
@@ -74,25 +74,33 @@
 }
 
 ReceiveResult ReceiveMessage(int socket) {
-  constexpr std::size_t kMaxPacketBytes = 1 + kMaxMessageTextBytes;
-  const auto packet = std::make_unique_for_overwrite<char[]>(kMaxPacketBytes);
-  iovec segment = {packet.get(), kMaxPacketBytes};
+  const auto text = std::make_unique_for_overwrite<char[]>(kMaxMessageTextBytes);
+  std::size_t text_size = 0;
+  ReceiveResult result = ReceiveMessageInto(socket, text.get(), text_size);
+  result.message.text.assign(text.get(), text_size);
+  return result;
+}
+
+ReceiveResult ReceiveMessageInto(int socket, char* text, std::size_t& text_size) {
+  char kind_letter = 0;
+  std::array<iovec, 2> segments = {{{&kind_letter, sizeof kind_letter}, {text, kMaxMessageTextBytes}}};
   ControlBuffer control;
   msghdr header{};
-  header.msg_iov = &segment;
-  header.msg_iovlen = 1;
+  header.msg_iov = segments.data();
+  header.msg_iovlen = segments.size();
   header.msg_control = control.bytes.data();
   header.msg_controllen = control.bytes.size();
   const ssize_t size = ::recvmsg(socket, &header, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
   ReceiveResult result;
+  text_size = 0;
   if (size <= 0) {
     const bool pending = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
     result.status = pending ? ReceiveStatus::kNothingPending : ReceiveStatus::kClosed;
     return result;
   }
+  text_size = static_cast<std::size_t>(size) - sizeof kind_letter;
   result.status = ReceiveStatus::kReceived;
-  result.message.kind = static_cast<HandoverMessageKind>(packet[0]);
-  result.message.text.assign(packet.get() + 1, static_cast<std::size_t>(size) - 1);
+  result.message.kind = static_cast<HandoverMessageKind>(kind_letter);
   DetachDescriptors(header, result.message);
   return result;
 }
--- a/src/operations/handover_channel.hpp
+++ b/src/operations/handover_channel.hpp
@@ -92,6 +92,9 @@
 
 /// Receives the next message without blocking.
 [[nodiscard]] ReceiveResult ReceiveMessage(int socket);
+/// The same, but writes the text into `text`, which has space for kMaxMessageTextBytes, and its size into
+/// `text_size`; ReceiveResult::message has no text.
+[[nodiscard]] ReceiveResult ReceiveMessageInto(int socket, char* text, std::size_t& text_size);
 
 /// One end of the channel. It must be used on the event loop's thread, which also runs the callbacks.
 class HandoverChannel {
--- a/src/operations/predecessor_state.cpp
+++ b/src/operations/predecessor_state.cpp
@@ -18,9 +18,12 @@
 constexpr Millis kStateTimeout = 3000;
 // Between requests, each of which costs the predecessor the serialisation of its state.
 constexpr Millis kRetryInterval = 200;
-// After a message the next one is awaited without sleeping for this long. Predecessors of earlier versions
-// give up as soon as the socket's buffer is full, about three messages ahead of this process.
-constexpr Millis kBusyWaitTime = 5;
+// After the connect and each message, the next one is awaited without sleeping for this long: longer than a
+// predecessor takes to serialise its state. Predecessors of earlier versions give up as soon as the socket's
+// buffer is full, about three messages ahead of this process.
+constexpr Millis kBusyWaitTime = 60;
+// Step in which memory for the state is allocated: the state before 3,200 hosts fits into the first.
+constexpr std::size_t kStateBufferBytes = 4u << 20;
 // poll(2) takes integral milliseconds: a shorter wait would be truncated to 0 and not block at all.
 constexpr Millis kMinPollTimeout = 1;
 
@@ -29,31 +32,50 @@
   ::poll(&poll_entry, 1, static_cast<int>(std::max(kMinPollTimeout, deadline - core::Now())));
 }
 
-// Adds a message's text and descriptor to the state received so far.
-void AddMessage(IncomingMessage message, PredecessorState& received) {
-  if (message.kind == HandoverMessageKind::kTunnelListener) {
-    received.tunnel_listeners[message.text] = std::move(message.descriptor);
-    return;
+// Receives the messages of the state. Texts are written where they belong, into memory that was touched
+// before, so that receiving takes no longer than sending.
+class StateReceiver {
+ public:
+  explicit StateReceiver(PredecessorState& received) : received_(received), buffer_(kStateBufferBytes, 0) {}
+
+  // Receives messages until the state is complete; false if the channel closes or the deadline passes first.
+  bool Receive(Millis deadline) {
+    const int channel = received_.channel.get();
+    Millis busy_wait_until = core::Now() + kBusyWaitTime;
+    for (Millis now = core::Now(); now < deadline; now = core::Now()) {
+      if (now >= busy_wait_until) WaitUntilReadable(channel, deadline);
+      std::size_t text_size = 0;
+      ReceiveResult result = ReceiveMessageInto(channel, buffer_.data() + state_size_, text_size);
+      if (result.status == ReceiveStatus::kClosed) return false;
+      if (result.status == ReceiveStatus::kNothingPending) continue;
+      const bool complete = result.message.kind == HandoverMessageKind::kStateComplete;
+      AddMessage(std::move(result.message), text_size);
+      if (complete) return static_cast<bool>(received_.client_listener);
+      busy_wait_until = core::Now() + kBusyWaitTime;
+    }
+    return false;
+  }
+  std::string TakeState() {
+    buffer_.resize(state_size_);
+    return std::move(buffer_);
   }
-  if (message.descriptor) received.client_listener = std::move(message.descriptor);
-  received.state += message.text;
-}
 
-// Receives messages until the state is complete; false if the channel closes or the deadline passes first.
-bool ReceiveState(int channel, Millis deadline, PredecessorState& received) {
-  Millis busy_wait_until = 0;
-  for (Millis now = core::Now(); now < deadline; now = core::Now()) {
-    if (now >= busy_wait_until) WaitUntilReadable(channel, deadline);
-    ReceiveResult result = ReceiveMessage(channel);
-    if (result.status == ReceiveStatus::kClosed) return false;
-    if (result.status == ReceiveStatus::kNothingPending) continue;
-    const bool complete = result.message.kind == HandoverMessageKind::kStateComplete;
-    AddMessage(std::move(result.message), received);
-    if (complete) return static_cast<bool>(received.client_listener);
-    busy_wait_until = core::Now() + kBusyWaitTime;
+ private:
+  void AddMessage(IncomingMessage message, std::size_t text_size) {
+    if (message.kind == HandoverMessageKind::kTunnelListener) {
+      received_.tunnel_listeners[buffer_.substr(state_size_, text_size)] = std::move(message.descriptor);
+      return;
+    }
+    if (message.descriptor) received_.client_listener = std::move(message.descriptor);
+    state_size_ += text_size;
+    if (buffer_.size() - state_size_ < kMaxMessageTextBytes)
+      buffer_.resize(buffer_.size() + kStateBufferBytes);
   }
-  return false;
-}
+
+  PredecessorState& received_;
+  std::string buffer_;  // the state received so far, and space for the next message
+  std::size_t state_size_ = 0;
+};
 
 }  // namespace
 
@@ -62,9 +84,13 @@
   const Millis deadline = core::Now() + kStateTimeout;
   for (;;) {
     PredecessorState received;
+    StateReceiver receiver(received);  // allocates before the predecessor is asked
     received.channel = ConnectUnixSocket(path);
     if (!received.channel) return std::nullopt;
-    if (ReceiveState(received.channel.get(), deadline, received)) return received;
+    if (receiver.Receive(deadline)) {
+      received.state = receiver.TakeState();
+      return received;
+    }
     if (core::Now() + kRetryInterval >= deadline) break;
     std::this_thread::sleep_for(core::ToDuration(kRetryInterval));
   }
