--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -476,6 +476,8 @@
     finally:
         end_all()
         for name in sorted(os.listdir(folder)):
+            if not os.path.isdir(os.path.join(folder, name)):
+                continue
             for log in sorted(os.listdir(os.path.join(folder, name))):
                 if log.startswith("log"):
                     with open(os.path.join(folder, name, log), encoding="utf-8", errors="replace") as file:
