--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -7,6 +7,7 @@
 import copy
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -14,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -386,8 +386,8 @@
 
     def start(self):
         """Starts `run` of the deploy file; returns the process. All but NODE_ADMIN is the same each time."""
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            command = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+            command = re.search(r'^run *= *"([^"]*)"', file.read(), re.MULTILINE).group(1)
         if self.arguments:
             command = command.replace(" serve", f" {self.arguments} serve")
         self.started += 1
