Stream answers of unknown length that are still coming at the latency objective

Cause: ResponseReader streamed a response without Content-Length only once more than 64 KiB of it had come. Until then the attempt counted as unanswered, and Connection::OnTimeout ended it at the objective.

Change: StartAttempt says when a retry could not meet the objective any more. A successful response that has begun by then, may be long, and comes at 16 kB/s or more is streamed from there on; a slower one is taken for a late short answer, as before. It is held 1.5 s at most. A streamed answer whose host gives nothing ends after 2 s (was 10 s). Its latency counts to its head: load, served and timely are counted once.

--- a/include/meadowyard/policy.hpp
+++ b/include/meadowyard/policy.hpp
@@ -338,6 +338,9 @@
   std::string request;
   std::string endpoint;
   Millis timeout = 0;
+  /// An answer that has begun by then, and that may be a long one, is no longer awaited but streamed
+  /// (ResponseStarted): a retry could not meet the latency objective any more.
+  Millis stream_after = 0;
 };
 
 /// Final answer: the request is rejected and the client may retry it safely, after `retry_after`; 0: the
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -162,8 +162,10 @@
   open_request->answered = true;
   open_request->deadline_timer.reset();
   open_request->message.reset();
+  // The host has done its work when it begins to answer, however long the answer was held here.
+  const Millis begun_at = response.begun_at > 0 ? response.begun_at : clock_.Now();
   const Millis latency =
-      clock_.Now() - std::max(open_request->attempts[attempt].sent_at, open_request->body_complete_at);
+      begun_at - std::max(open_request->attempts[attempt].sent_at, open_request->body_complete_at);
   const auto answer = std::exchange(open_request->on_answer, nullptr);
   answer({meadowyard::core::Answer::Kind::kServed, 0, std::move(response), std::move(remaining_body),
           [this, name = open_request->class_name](bool complete) {
@@ -333,6 +335,7 @@
   attempt_request.message = open_request->message;
   attempt_request.body_source = open_request->body_source;
   attempt_request.deadline = attempt_deadline;
+  attempt_request.stream_at = std::min(now + start.stream_after, attempt_deadline - kAnswerMargin);
   attempt_request.upload_timeout = open_request->client_timeout - kAnswerMargin;
   attempt_request.still_wanted = [this, id = start.request, endpoint_id = start.endpoint] {
     return IsAwaited(Find(id)) && policy_.IsEligible(endpoint_id, id);
--- a/src/core/message.hpp
+++ b/src/core/message.hpp
@@ -70,6 +70,7 @@
   Fields fields;
   std::string body;         // complete, or the first part if a BodySource provides the remainder
   std::string load_report;  // "name=value,..." as the host sent it; empty if it sent none
+  Millis begun_at = 0;      // when the host began to send it
 };
 
 /// The final answer that a front gives its client: a host's response, or one of the gateway's own.
--- a/src/core/upstream.hpp
+++ b/src/core/upstream.hpp
@@ -21,6 +21,9 @@
   /// End of the attempt. Where the body is still arriving, the time that is left when the attempt
   /// starts counts from the completion of the body instead.
   Millis deadline = 0;
+  /// A response that has begun by then, and that may be a long one, is streamed instead of awaited. Where the
+  /// body is still arriving, it counts from the completion of the body like `deadline`.
+  Millis stream_at = 0;
   /// With `body_source`: the attempt also ends this long after RequestBody::EarliestCompleteAt.
   Millis upload_timeout = 0;
   /// Called when the connection to the host is open: whether the attempt is still to be sent.
--- a/src/decision/request_processor.cpp
+++ b/src/decision/request_processor.cpp
@@ -164,7 +164,8 @@
   const Millis timeout = std::max(kMinTimeout, answer_needed_by - now);
   request.attempts.push_back(
       {.endpoint = &endpoint, .started_at = now, .timeout = timeout, .loads_endpoint = loads_endpoint});
-  mechanisms_.actions.Emit(StartAttempt{request.id, endpoint.info.id, timeout});
+  const Millis stream_after = std::max(0.0, request.objective_at - kAnswerMargin - now);
+  mechanisms_.actions.Emit(StartAttempt{request.id, endpoint.info.id, timeout, stream_after});
 }
 
 // The answer is being forwarded to the client, so the request needs no other final answer, but the attempt's
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -18,7 +18,10 @@
 
 // An idle connection is closed after this part of the hosts' idle timeout, before the host closes it.
 constexpr double kIdleTimeoutFraction = 1.0 / 3;
-constexpr Millis kMaxStreamStallMs = 10000;  // longest time without any byte of a streamed body
+constexpr Millis kMaxUploadStall = 10000;   // longest time in which a host accepts no byte of an upload
+constexpr Millis kMaxResponseStall = 2000;  // longest time without any byte of a streamed response
+// How long a response that may be long is held for a retry if its host fails: shorter than kMaxResponseStall.
+constexpr Millis kMaxResponseHold = 1500;
 constexpr Millis kTimerRounding = 0.5;  // timers are rounded and may fire this long before their deadline
 constexpr Millis kNoDeadline = std::numeric_limits<Millis>::infinity();
 
@@ -40,6 +43,7 @@
                  Release(keep_alive);
                  FinishJob(result, std::move(response));
                },
+               [this] { OnLongResponseBegun(); },
                [this](core::ResponseMessage response, std::shared_ptr<core::BodySource> remainder) {
                  // Moved out first: the call may end the job and so destroy its callbacks.
                  const auto on_response_started = std::move(job_->on_response_started);
@@ -49,7 +53,9 @@
                  Release(keep_alive);
                  FinishJob(AttemptResult::kServed, {});
                },
-               [this](bool waiting) { waiting ? ArmTimer(core::Now() + kMaxStreamStallMs) : DisarmTimer(); },
+               [this](bool waiting) {
+                 waiting ? ArmTimer(reader_.waiting_since() + kMaxResponseStall) : DisarmTimer();
+               },
                [this] { End(AttemptResult::kCancelled); }, [this](AttemptResult result) { End(result); }}) {}
 
 bool HostPool::Connection::Open() {
@@ -137,6 +143,7 @@
 void HostPool::Connection::StartJob(Job job) {
   job_ = std::move(job);
   stall_ends_at_ = 0;
+  hold_ends_at_ = 0;
   ++idle_wait_generation_;  // invalidates the pending wait of the idle state
   pool_.active_[job_->attempt] = shared_from_this();
 }
@@ -168,7 +175,7 @@
 }
 
 void HostPool::Connection::OnUploadStalled() {
-  stall_ends_at_ = core::Now() + kMaxStreamStallMs;
+  stall_ends_at_ = core::Now() + kMaxUploadStall;
   ArmTimer(std::min(stall_ends_at_, UploadDeadline()));
 }
 
@@ -176,6 +183,12 @@
   return job_->body_source->EarliestCompleteAt() + job_->upload_timeout;
 }
 
+// Until then the response is buffered, so that the request can be retried if its host fails.
+void HostPool::Connection::OnLongResponseBegun() {
+  hold_ends_at_ = std::min(job_->stream_at, core::Now() + kMaxResponseHold);
+  ArmTimer(std::min(hold_ends_at_, job_->deadline));
+}
+
 void HostPool::Connection::OnTimeout() {
   if (deadline_ == kNoDeadline) return;
   if (core::Now() < deadline_ - kTimerRounding) return ArmTimer(deadline_);
@@ -187,6 +200,10 @@
     pool_.RemoveIdle(host_, this);
     return Close();
   }
+  if (hold_ends_at_ > 0 && !reader_.is_streaming()) {
+    if (reader_.StartStreaming()) return;
+    if (core::Now() < job_->deadline - kTimerRounding) return ArmTimer(job_->deadline);
+  }
   if (reader_.is_streaming()) return End(AttemptResult::kReset);
   End(writer_.IsFullyWritten() ? AttemptResult::kTimedOut : AttemptResult::kConnectFailed);
 }
@@ -213,6 +230,7 @@
   stall_ends_at_ = 0;
   if (job_->body_source) {
     job_->deadline = std::min(core::Now() + job_->response_timeout, UploadDeadline());
+    job_->stream_at = core::Now() + job_->stream_after;
     ArmTimer(job_->deadline);
   }
   job_->body_source.reset();
@@ -221,6 +239,7 @@
 }
 
 void HostPool::Connection::Release(bool keep_alive) {
+  hold_ends_at_ = 0;
   // Whether the host has sent more bytes or closed is checked on the socket before the next use.
   const bool reusable =
       keep_alive && open_ && !reader_.HasUnrequestedBytes() && pool_.MayUse(host_, address_);
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -23,6 +23,7 @@
   struct Job : core::AttemptRequest {
     std::uint64_t attempt = 0;
     Millis response_timeout = 0;  // for a body that is still arriving: counts from its completion
+    Millis stream_after = 0;      // likewise; see core::AttemptRequest::stream_at
   };
 
   Connection(HostPool& pool, std::string host, boost::asio::ip::tcp::endpoint address);
@@ -61,6 +62,8 @@
   void OnUploadStalled();
   // When an upload ends at the latest: its client may have sent the last byte and wait for the answer.
   Millis UploadDeadline() const;
+  // The host has begun a response that may be a long one.
+  void OnLongResponseBegun();
   void OnConnected(boost::system::error_code ec);
   void Write();
   void OnRequestWritten();
@@ -78,6 +81,7 @@
   Millis deadline_ = 0;       // end of the job or of the idle period; kNoDeadline: none
   Millis timer_expiry_ = 0;   // when the pending timer expires; 0: none is pending
   Millis stall_ends_at_ = 0;  // end of a stalled upload, if its client's timeout is not earlier; 0: no stall
+  Millis hold_ends_at_ = 0;   // when a response that has begun is streamed; 0: none is held
   Millis idle_since_ = 0;
   // Increased by each idle period and each job; an earlier wait for readability is ignored.
   std::uint64_t idle_wait_generation_ = 0;
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -82,7 +82,8 @@
     return;
   }
   const Millis response_timeout = request.deadline - core::Now();
-  Connection::Job job{std::move(request), attempt, response_timeout};
+  const Millis stream_after = request.stream_at - core::Now();
+  Connection::Job job{std::move(request), attempt, response_timeout, stream_after};
   auto& idle = found->second.idle;
   // The most recently used connection that has been idle for long enough; the list is ordered by last use.
   const Millis idle_before = core::Now() - limits_.min_idle_before_reuse;
--- a/src/upstream/response_reader.cpp
+++ b/src/upstream/response_reader.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
+#include "core/clock.hpp"
 #include "http/messages.hpp"
 
 namespace meadowyard {
@@ -15,6 +16,10 @@
 using boost::system::error_code;
 
 constexpr int kMaxInterimResponses = 8;  // 1xx responses before the final one
+// Bytes per ms, a quarter of the slowest pace that the protocol names. A response that arrives more slowly
+// is taken for a short one that is late.
+constexpr double kMinLongResponseRate = 16;
+constexpr Millis kMinRateInterval = 1;  // over which a rate is determined
 
 // Only a 503 or 504 with Srv-Declined proves that the request was not executed.
 template <typename Head>
@@ -37,6 +42,12 @@
         total_length(size) {}
   void RequestData(DataCallback on_data) override {
     requested = true;
+    if (!unread.empty()) {
+      asio::post(executor, [piece = std::exchange(unread, {}), on_data = std::move(on_data)] {
+        on_data(Status::kData, piece);
+      });
+      return;
+    }
     const auto owner_alive = owner.lock();
     if (!end && owner_alive) return reader->ReadNextPiece(std::move(on_data));
     asio::post(executor,
@@ -53,6 +64,7 @@
   const std::weak_ptr<void> owner;
   boost::asio::ip::tcp::socket::executor_type executor;
   const std::optional<std::uint64_t> total_length;
+  std::string unread;         // received before it was requested
   std::optional<Status> end;  // set once the stream has ended and the connection no longer serves it
   bool requested = false;
 };
@@ -60,11 +72,13 @@
 void ResponseReader::Read() {
   interim_responses_ = 0;
   body_.clear();
+  body_begun_at_ = 0;
   ReadHead();
 }
 
 void ResponseReader::Reset() {
   ++generation_;
+  read_pending_ = false;
   EndStream(core::BodySource::Status::kBroken);
 }
 
@@ -98,10 +112,30 @@
     return handlers_.on_failed(AttemptResult::kReset);
   }
   keep_alive_ = head.keep_alive();
+  begun_at_ = core::Now();
   if (parser_->is_done()) return handlers_.on_response(ToResult(head), TakeResponse(), keep_alive_);
+  if (MayBeStreamed()) handlers_.on_long_response_begun();
   ReadBody();
 }
 
+// Only successful responses are streamed.
+bool ResponseReader::MayBeStreamed() const {
+  const auto length = parser_->content_length();
+  return ToResult(parser_->get()) == AttemptResult::kServed && (!length || *length > kMaxBufferedBodyBytes);
+}
+
+bool ResponseReader::StartStreaming() {
+  if (stream_ || !read_pending_ || !MayBeStreamed() || !IsFlowing()) return false;
+  BeginStream();
+  return true;
+}
+
+bool ResponseReader::IsFlowing() const {
+  if (body_begun_at_ == 0) return false;
+  const Millis interval = std::max(kMinRateInterval, core::Now() - body_begun_at_);
+  return static_cast<double>(body_.size()) >= kMinLongResponseRate * interval;
+}
+
 // Reads a piece of the body into `piece_` and calls `callback` with the error code and the piece.
 template <typename Callback>
 void ResponseReader::ReadPiece(Callback callback) {
@@ -109,10 +143,13 @@
   const std::uint64_t remaining = parser_->content_length_remaining().value_or(core::kMaxPieceBytes);
   piece_.resize(static_cast<std::size_t>(std::clamp<std::uint64_t>(remaining, 1, core::kMaxPieceBytes)));
   parser_->get().body() = {piece_.data(), piece_.size(), true};
+  waiting_since_ = core::Now();
+  read_pending_ = true;
   http::async_read_some(
       socket_, buffer_, *parser_,
       [this, owner = handlers_.owner(), generation = generation_, callback](error_code ec, std::size_t) {
         if (generation_ != generation) return;
+        read_pending_ = false;
         if (ec == http::error::need_buffer) ec = {};
         callback(ec, std::string_view(piece_.data(), piece_.size() - parser_->get().body().size));
       });
@@ -121,7 +158,9 @@
 // A short response is reported once it is complete; a long one is streamed from its first piece.
 void ResponseReader::ReadBody() {
   ReadPiece([this](error_code ec, std::string_view piece) {
+    if (stream_) return OnStreamPiece(ec, piece);  // StartStreaming was called during this read
     if (ec) return handlers_.on_failed(AttemptResult::kReset);
+    if (body_begun_at_ == 0 && !piece.empty()) body_begun_at_ = core::Now();
     body_.append(piece);
     const AttemptResult result = ToResult(parser_->get());
     if (parser_->is_done() && body_.size() <= kMaxBufferedBodyBytes) {
@@ -143,7 +182,8 @@
   response.load_report = response.fields.Get("Srv-Load");
   if (!response.load_report.empty()) response.fields.Erase("Srv-Load");
   response.body = std::exchange(body_, {});
-  piece_ = {};
+  response.begun_at = begun_at_;
+  if (!read_pending_) piece_ = {};
   return response;
 }
 
@@ -162,20 +202,24 @@
 
 void ResponseReader::ReadNextPiece(core::BodySource::DataCallback on_data) {
   on_data_ = std::move(on_data);
+  if (!read_pending_) ReadPiece([this](error_code ec, std::string_view piece) { OnStreamPiece(ec, piece); });
   handlers_.on_waiting_for_host(true);
-  ReadPiece([this](error_code ec, std::string_view piece) {
-    if (!on_data_) return;
-    if (ec) return handlers_.on_failed(AttemptResult::kReset);
-    handlers_.on_waiting_for_host(false);  // a slow client must not count against the host's time limit
-    const auto on_data = std::exchange(on_data_, nullptr);
-    const std::string text(piece);  // copied: the connection may be reused before the callback reads it
-    if (parser_->is_done()) {
-      EndStream(core::BodySource::Status::kComplete);
-      handlers_.on_stream_finished(keep_alive_);
-    }
-    if (!text.empty()) return on_data(core::BodySource::Status::kData, text);
-    stream_ ? ReadNextPiece(on_data) : on_data(core::BodySource::Status::kComplete, {});
-  });
+}
+
+void ResponseReader::OnStreamPiece(error_code ec, std::string_view piece) {
+  if (ec) return handlers_.on_failed(AttemptResult::kReset);
+  handlers_.on_waiting_for_host(false);  // a slow client must not count against the host's time limit
+  const auto stream = stream_;
+  const auto on_data = std::exchange(on_data_, nullptr);
+  const std::string text(piece);  // copied: the connection may be reused before the callback reads it
+  if (!on_data) stream->unread = text;
+  if (parser_->is_done()) {
+    EndStream(core::BodySource::Status::kComplete);
+    handlers_.on_stream_finished(keep_alive_);
+  }
+  if (!on_data) return;
+  if (!text.empty()) return on_data(core::BodySource::Status::kData, text);
+  stream_ ? ReadNextPiece(on_data) : on_data(core::BodySource::Status::kComplete, {});
 }
 
 void ResponseReader::EndStream(core::BodySource::Status end) {
--- a/src/upstream/response_reader.hpp
+++ b/src/upstream/response_reader.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// Reads a host's HTTP/1.1 responses from a connection: short ones are buffered completely, long ones are
-/// streamed piece by piece on request.
+/// streamed piece by piece on request. A response whose length is not declared is buffered until it has
+/// become long or its owner calls StartStreaming.
 #ifndef MEADOWYARD_UPSTREAM_RESPONSE_READER_HPP_
 #define MEADOWYARD_UPSTREAM_RESPONSE_READER_HPP_
 
@@ -26,6 +27,8 @@
     std::function<std::shared_ptr<void>()> owner;  // what it returns is kept alive while a read is pending
     // The response is complete. `keep_alive`: the host keeps the connection open (RFC 9112, section 9.3).
     std::function<void(AttemptResult, core::ResponseMessage, bool keep_alive)> on_response;
+    // The response has begun and may be a long one: StartStreaming may be called from now on.
+    std::function<void()> on_long_response_begun;
     // A streamed response has started; `on_stream_finished` or `on_failed` follows.
     std::function<void(core::ResponseMessage, std::shared_ptr<core::BodySource>)> on_stream_started;
     std::function<void(bool keep_alive)> on_stream_finished;
@@ -39,6 +42,11 @@
       : socket_(socket), handlers_(std::move(handlers)) {}
 
   void Read();
+  /// Streams the response that is being read from now on, with what has been received of it; false if it is
+  /// none that may be streamed, or if it arrives too slowly to become a long one.
+  bool StartStreaming();
+  /// Since when the pending read of body data has been waiting for the host.
+  Millis waiting_since() const { return waiting_since_; }
   /// Whether a streamed response is in progress.
   bool is_streaming() const { return stream_ != nullptr; }
   /// Whether bytes were received beyond the end of the last response, which belong to no request.
@@ -55,8 +63,11 @@
   template <typename Callback>
   void ReadPiece(Callback callback);
   void ReadBody();
+  bool MayBeStreamed() const;
+  bool IsFlowing() const;
   void BeginStream();
   void ReadNextPiece(core::BodySource::DataCallback on_data);
+  void OnStreamPiece(boost::system::error_code ec, std::string_view piece);
   void EndStream(core::BodySource::Status end);
   core::ResponseMessage TakeResponse();
 
@@ -68,6 +79,10 @@
   std::string piece_;                       // buffer of the read in progress
   std::shared_ptr<Stream> stream_;          // the streamed response in progress
   core::BodySource::DataCallback on_data_;  // of the pending RequestData call
+  Millis begun_at_ = 0;                     // when the response's head was read
+  Millis body_begun_at_ = 0;                // when the first byte of its body was read; 0: none was
+  Millis waiting_since_ = 0;                // when the last read of body data began
+  bool read_pending_ = false;               // a read of body data is pending
   bool keep_alive_ = false;                 // the connection is persistent after this response
   int interim_responses_ = 0;               // 1xx responses before the final one
   std::uint64_t generation_ = 0;  // increased by Reset; callbacks of an earlier generation are ignored
