Deliver answers that have begun when a process is told to end

What callers saw: 3.5 s after SIGTERM the process ended by itself and cut every answer that hosts still gave.

Cause: Service::Stop called FailAll at answer_until and ended the event loop kFlushTime later, whether or not answers were being streamed; FailAll also failed answers that had begun and were held to become streams.

Change: the process ends once the streamed answers are delivered. A host that gives nothing for 2 s and a client that takes nothing for 10 s are given up; 33 MB at the slowest pace that the protocol names bound it all. A log line tells what the process waits for.

As it may now live on while the next upgrade runs: a process that was told to end doesn't serve again, nor listen for successors, when its successor ends before it (its own successor serves), and one that starts while such a process has closed its listener gets the state instead of none after 3 s.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -17,6 +17,10 @@
 
 // From failing the remaining requests to the end of the process, so that their answers can be sent.
 constexpr Millis kFlushTime = 200;
+// The slowest pace that the protocol names, in bytes per ms. The longest answer takes about 9 minutes then;
+// what is still not delivered is given up.
+constexpr Millis kSlowestPace = 64;
+constexpr Millis kMaxStreamTime = static_cast<Millis>(core::kMaxBodyBytes) / kSlowestPace;
 // From a failed call to discovery to the next one, where discovery pushes lists.
 constexpr Millis kDiscoveryRetryDelay = 200;
 
@@ -211,6 +215,11 @@
   if (edge_) edge_->front().ResumeServing();
 }
 
+void Service::OnSuccessorEndedFirst() {
+  hosts_.PassIdle(nullptr);
+  clients_.EndHandOver();
+}
+
 void Service::OnPredecessorDescriptors(std::size_t count) {
   if (count == std::exchange(predecessor_descriptors_, count)) return;
   budget_ = ComputeBudget(ResourcesFor(config_, edge_config_.get()), predecessor_descriptors_);
@@ -349,13 +358,25 @@
     stop_timer_.expires_after(core::ToDuration(delay));
     stop_timer_.async_wait([action = std::move(action)](error_code) { action(); });
   };
-  const auto fail_remaining = [this, run_after, draining_servers, done] {
+  const auto end = [draining_servers, done] {
+    if (*draining_servers == 0) return;
+    *draining_servers = 1;
+    done();
+  };
+  // Ends once the answers that are being streamed are delivered. Hosts and clients that stop are given up by
+  // the time limits of their connections.
+  const auto await_streams = [this, run_after, end] {
+    const std::size_t streams = clients_.CountStreamedAnswers();
+    if (streams == 0) return end();
+    log::Write(log::Level::kInfo, "stop_awaits_answers", {{"count", std::to_string(streams)}});
+    clients_.AwaitStreamedAnswers(end);
+    run_after(kMaxStreamTime, end);
+  };
+  const auto fail_remaining = [this, run_after, await_streams] {
+    hosts_.StreamBegunResponses();
     core_.FailAll();
     if (edge_) edge_->FailAll();
-    run_after(kFlushTime, [draining_servers, done] {
-      *draining_servers = 1;
-      done();
-    });
+    run_after(kFlushTime, await_streams);
   };
   const auto drain = [this, run_after, done, times, fail_remaining] {
     clients_.Drain(done);
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -76,7 +76,8 @@
     Millis accept_until = 500;
     /// Open connections are served normally until then: no other gateway would serve their clients better.
     Millis serve_until = 2200;
-    /// Requests that are unanswered at this time are failed.
+    /// Requests that are unanswered at this time are failed. Answers that have begun are delivered to their
+    /// end, however long that takes.
     Millis answer_until = 3300;
   };
   /// Shuts down gracefully by `times`, then calls `done`. Further calls do nothing.
@@ -99,8 +100,10 @@
   std::vector<operations::TunnelListener> TunnelListeners() override;
   std::vector<std::string> PoolHostsInMaintenance() override;
   std::size_t CountDescriptors() override;
+  bool IsStopping() override { return stopping_; }
   void OnSuccessorServing() override;
   void OnSuccessorLost() override;
+  void OnSuccessorEndedFirst() override;
   void OnPredecessorDescriptors(std::size_t count) override;
   void AdoptClientConnection(std::string_view unread, operations::Descriptor connection) override;
   void AdoptHostConnection(const operations::HostConnectionInfo& info,
--- a/src/fronts/http/client_server.cpp
+++ b/src/fronts/http/client_server.cpp
@@ -92,9 +92,22 @@
 void ClientServer::RemoveSession(const std::shared_ptr<Session>& session) {
   sessions_.erase(session);
   if (on_drained_ && sessions_.empty()) asio::post(io_, std::exchange(on_drained_, nullptr));
+  if (on_streams_delivered_ && CountStreamedAnswers() == 0)
+    asio::post(io_, std::exchange(on_streams_delivered_, nullptr));
   if (!IsFull()) Accept();
 }
 
+std::size_t ClientServer::CountStreamedAnswers() const {
+  return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
+    return session->has_streamed_answer();
+  }));
+}
+
+void ClientServer::AwaitStreamedAnswers(std::function<void()> on_delivered) {
+  if (CountStreamedAnswers() == 0) return asio::post(io_, std::move(on_delivered));
+  on_streams_delivered_ = std::move(on_delivered);
+}
+
 bool ClientServer::HasQueuedClients() const {
   return !accepting_ && acceptor_.is_open() && !hand_over_ && IsFull();
 }
@@ -208,6 +221,13 @@
   Accept();
 }
 
+void ClientServer::EndHandOver() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  hand_over_ = nullptr;
+  Drain(std::exchange(on_drained_, nullptr));
+}
+
 void ClientServer::Adopt(int fd, std::string_view unread) {
   error_code ec;
   tcp::socket socket(io_);
--- a/src/fronts/http/client_server.hpp
+++ b/src/fronts/http/client_server.hpp
@@ -70,6 +70,10 @@
   /// Closes idle connections; from now on each connection is closed after its answer. Calls `on_drained` when
   /// the last connection is closed.
   void Drain(std::function<void()> on_drained);
+  /// The number of connections on which a streamed answer may not have been delivered to its end yet.
+  std::size_t CountStreamedAnswers() const;
+  /// Calls `on_delivered` when CountStreamedAnswers() has become 0, for a process that ends.
+  void AwaitStreamedAnswers(std::function<void()> on_delivered);
 
   /// Hands over to another process: stops accepting, and passes each connection to `hand_over` when it is
   /// between two requests, with the data already read of the next one. A connection for which it returns
@@ -79,6 +83,9 @@
   /// Ends the handover because the other process no longer serves: accepts connections and keeps them here
   /// again.
   void ResumeServing();
+  /// Ends the handover of a process that ends, because the other process has exited: closes this process's
+  /// listener and, from now on, each connection after its answer.
+  void EndHandOver();
   /// Serves a connection that another process handed over; `unread` is the data it has read. Takes over `fd`.
   void Adopt(int fd, std::string_view unread);
   int listener() { return acceptor_.native_handle(); }
@@ -125,6 +132,7 @@
   bool accepting_ = false;
   bool draining_ = false;
   std::function<void()> on_drained_;
+  std::function<void()> on_streams_delivered_;
 };
 
 }  // namespace meadowyard
--- a/src/fronts/http/session.cpp
+++ b/src/fronts/http/session.cpp
@@ -186,6 +186,7 @@
   const auto& head = reader_.head();
   keep_alive_ = head.keep_alive();
   version_ = head.version();
+  has_streamed_answer_ = false;
   const Millis seen_at = std::exchange(next_request_seen_at_, 0);
   if (head.target() == "/up" && head.method() == http::verb::get) {
     Page page;
@@ -325,6 +326,7 @@
   const auto length = stream->body_source->length();
   const bool chunked = !length && version_ >= 11;
   if (!length && !chunked) keep_alive_ = false;
+  has_streamed_answer_ = true;
   WatchForReset();
   writer_.WriteStream(
       FormatHead(page, version_, keep_alive_, length, chunked) + core::EncodeBodyData(page.body, chunked),
--- a/src/fronts/http/session.hpp
+++ b/src/fronts/http/session.hpp
@@ -40,6 +40,8 @@
   /// closed causes a reset, which can destroy an answer that the client has not yet read.
   bool IsAnswerDelivered(Millis now) const;
   bool CanCloseIdle(Millis now) { return IsIdle() && IsAnswerDelivered(now); }
+  /// Whether the last answer was streamed: it may not have been delivered to its end yet.
+  bool has_streamed_answer() const { return has_streamed_answer_; }
   Millis phase_started_at() const { return phase_started_at_; }
   /// Which connection to close first at the session limit; kNotEvictable may not be closed. A new connection
   /// gets a short time for its first request to arrive: if closed at once, its client would only connect
@@ -99,6 +101,7 @@
   Millis body_started_at_ = 0;       // when reading of the body began
   unsigned version_ = 11;
   bool keep_alive_ = true;
+  bool has_streamed_answer_ = false;    // until the next request is dispatched
   bool is_reading_body_ = false;        // a body is being read before dispatch
   bool is_watching_for_reset_ = false;  // WatchForReset() has a wait pending
 };
--- a/src/operations/hot_restart_coordinator.cpp
+++ b/src/operations/hot_restart_coordinator.cpp
@@ -154,9 +154,11 @@
 void HotRestartCoordinator::OnSuccessorClosed() {
   if (!successor_serving_ && successor_->HasQueuedMessages()) return FailStateTransfer();
   successor_.reset();
-  if (!std::exchange(successor_serving_, false)) return;
-  log::Write(log::Level::kWarn, "hot_restart_abandoned", {{"reason", "successor_ended"}});
+  if (!successor_serving_) return;
   descriptor_count_timer_.cancel();
+  if (delegate_.IsStopping()) return delegate_.OnSuccessorEndedFirst();
+  successor_serving_ = false;
+  log::Write(log::Level::kWarn, "hot_restart_abandoned", {{"reason", "successor_ended"}});
   delegate_.OnSuccessorLost();
   // If listening fails, the next process to start has no predecessor.
   static_cast<void>(listener_.Listen());
--- a/src/operations/hot_restart_coordinator.hpp
+++ b/src/operations/hot_restart_coordinator.hpp
@@ -28,7 +28,7 @@
 ///     process keeps serving meanwhile.
 ///  2. The successor reports that it serves. This process passes idle connections to it and finishes the open
 ///     requests.
-///  3. If the successor exits before this process does, this process serves again.
+///  3. If the successor exits before this process does, this process serves again, unless it was told to end.
 ///
 /// While both processes run, each replicates changes to the maintenance of hosts to the other.
 class HotRestartCoordinator {
--- a/src/operations/hot_restart_delegate.hpp
+++ b/src/operations/hot_restart_delegate.hpp
@@ -39,11 +39,16 @@
   virtual std::vector<std::string> PoolHostsInMaintenance() = 0;
   /// The number of file descriptors that this process has open.
   virtual std::size_t CountDescriptors() = 0;
+  /// Whether this process was told to end: it doesn't serve again if its successor exits.
+  virtual bool IsStopping() = 0;
   /// The successor has started to serve: the gateway passes its idle connections to it.
   /// HotRestartCoordinator::successor_serving() is already true.
   virtual void OnSuccessorServing() = 0;
   /// The serving successor has exited: this process serves again.
   virtual void OnSuccessorLost() = 0;
+  /// The same while IsStopping(): another process serves, the successor's own successor, so this process only
+  /// finishes its open requests.
+  virtual void OnSuccessorEndedFirst() = 0;
 
   // ---- This process is the successor ----
 
--- a/src/operations/predecessor_state.cpp
+++ b/src/operations/predecessor_state.cpp
@@ -50,7 +50,7 @@
       if (result.status == ReceiveStatus::kNothingPending) continue;
       const bool complete = result.message.kind == HandoverMessageKind::kStateComplete;
       AddMessage(std::move(result.message), text_size);
-      if (complete) return static_cast<bool>(received_.client_listener);
+      if (complete) return true;
       busy_wait_until = core::Now() + kBusyWaitTime;
     }
     return false;
--- a/src/upstream/connection.cpp
+++ b/src/upstream/connection.cpp
@@ -189,6 +189,10 @@
   ArmTimer(std::min(hold_ends_at_, job_->deadline));
 }
 
+bool HostPool::Connection::StreamBegunResponse() {
+  return hold_ends_at_ > 0 && !reader_.is_streaming() && reader_.StartStreaming();
+}
+
 void HostPool::Connection::OnTimeout() {
   if (deadline_ == kNoDeadline) return;
   if (core::Now() < deadline_ - kTimerRounding) return ArmTimer(deadline_);
@@ -201,7 +205,7 @@
     return Close();
   }
   if (hold_ends_at_ > 0 && !reader_.is_streaming()) {
-    if (reader_.StartStreaming()) return;
+    if (StreamBegunResponse()) return;
     if (core::Now() < job_->deadline - kTimerRounding) return ArmTimer(job_->deadline);
   }
   if (reader_.is_streaming()) return End(AttemptResult::kReset);
--- a/src/upstream/connection.hpp
+++ b/src/upstream/connection.hpp
@@ -45,6 +45,8 @@
   bool IsReusable();
   bool IsRequestWritten() const { return writer_.IsFullyWritten(); }
   Millis idle_since() const { return idle_since_; }
+  /// Streams the response that is held, if there is one; false if there is none that may be streamed.
+  bool StreamBegunResponse();
   /// Ends the job, if there is one, with `result`, and closes the connection.
   void End(AttemptResult result);
   void Close();
--- a/src/upstream/host_pool.cpp
+++ b/src/upstream/host_pool.cpp
@@ -130,6 +130,12 @@
   connection->End(AttemptResult::kNotSent);
 }
 
+void HostPool::StreamBegunResponses() {
+  std::vector<std::shared_ptr<Connection>> connections;  // copied: a callback may end an attempt
+  for (const auto& [attempt, connection] : active_) connections.push_back(connection);
+  for (const auto& connection : connections) connection->StreamBegunResponse();
+}
+
 void HostPool::PassIdle(Pass pass) {
   pass_ = std::move(pass);
   if (!pass_) return;
--- a/src/upstream/host_pool.hpp
+++ b/src/upstream/host_pool.hpp
@@ -52,6 +52,8 @@
   /// Also closes the connection of the attempt.
   void Cancel(std::uint64_t attempt) override;
   void CancelIfUnsent(std::uint64_t attempt) override;
+  /// Streams the responses that have begun and may be long ones, instead of awaiting them any longer.
+  void StreamBegunResponses();
   /// Sends the attempts that were queued while the host list was out of date.
   void Resume();
 
--- a/tests/operations/handover_format_test.cpp
+++ b/tests/operations/handover_format_test.cpp
@@ -463,7 +463,9 @@
   std::vector<std::string> PoolHostsInMaintenance() override { return {}; }
   std::size_t CountDescriptors() override { return 7; }
   void OnSuccessorServing() override { events.emplace_back("successor serving"); }
+  bool IsStopping() override { return false; }
   void OnSuccessorLost() override { events.emplace_back("successor lost"); }
+  void OnSuccessorEndedFirst() override { events.emplace_back("successor ended first"); }
   void OnPredecessorDescriptors(std::size_t count) override {
     events.push_back("predecessor descriptors " + std::to_string(count));
   }
--- a/tests/operations/hot_restart_test.cpp
+++ b/tests/operations/hot_restart_test.cpp
@@ -27,8 +27,10 @@
   std::vector<operations::TunnelListener> TunnelListeners() override { return {}; }
   std::vector<std::string> PoolHostsInMaintenance() override { return pool_hosts_in_maintenance; }
   std::size_t CountDescriptors() override { return 7; }
+  bool IsStopping() override { return stopping; }
   void OnSuccessorServing() override { ++successors_serving; }
   void OnSuccessorLost() override { ++successors_lost; }
+  void OnSuccessorEndedFirst() override { ++successors_ended_first; }
   void OnPredecessorDescriptors(std::size_t count) override { predecessor_descriptors.push_back(count); }
   void AdoptClientConnection(std::string_view unread, operations::Descriptor connection) override {
     clients.push_back({std::string(unread), std::move(connection)});
@@ -48,8 +50,10 @@
   std::string state;
   std::vector<std::string> pool_hosts_in_maintenance;
   int listener = -1;
+  bool stopping = false;
   int successors_serving = 0;
   int successors_lost = 0;
+  int successors_ended_first = 0;
   std::vector<std::size_t> predecessor_descriptors;
   std::vector<AdoptedClient> clients;
   std::vector<std::string> hosts;
