--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// A process that is told to end while answers are being streamed.
+/// A process that shuts down while answers are being streamed.
 #include <gtest/gtest.h>
 
 #include "core/clock.hpp"
@@ -184,8 +184,8 @@
   EXPECT_EQ(first.process->Errors().find("hot_restart_abandoned"), std::string::npos);
 }
 
-// Guards against a process that starts without its predecessor's state, because the predecessor was told to
-// end, has closed its listener and still gives an answer.
+// Guards against a process that starts without its predecessor's state, because the predecessor shuts down,
+// has closed its listener and still gives an answer.
 TEST(StopDuringLongAnswer, HandsItsStateToAProcessThatStartsMeanwhile) {
   constexpr Millis kMaxStart = 2000;
   ProgramHarness harness;
--- a/tests/unknown_length_test.cpp
+++ b/tests/unknown_length_test.cpp
@@ -125,7 +125,7 @@
       std::count(answer.begin() + static_cast<std::ptrdiff_t>(body), answer.end(), 'x'));
 }
 
-bool IsWhole(const RawEnd& client) { return client.received_bytes.ends_with("0\r\n\r\n"); }
+bool IsComplete(const RawEnd& client) { return client.received_bytes.ends_with("0\r\n\r\n"); }
 
 struct SlowAnswerCase {
   const char* name;
@@ -138,14 +138,14 @@
 // Guards against answers without a declared length that are given up at the class's objective while their
 // host still gives them (review/7): the request has run, its client gets all of the answer, and it counts
 // once.
-TEST_P(SlowAnswer, ReachesItsClientWhole) {
+TEST_P(SlowAnswer, ReachesItsClientCompletely) {
   const auto& [name, class_name, script] = GetParam();
   ScriptedWorld fixture(script);
   const auto client = fixture.Ask(class_name);
   ASSERT_TRUE(fixture.world.Until(
       [&] { return client->received_byte_count >= script.piece_bytes || client->is_read_closed(); }));
   EXPECT_LT(core::Now() - fixture.asked_at, kObjective + 50) << "the first bytes came late";
-  ASSERT_TRUE(fixture.world.Until([&] { return IsWhole(*client) || client->is_read_closed(); }));
+  ASSERT_TRUE(fixture.world.Until([&] { return IsComplete(*client) || client->is_read_closed(); }));
   EXPECT_EQ(client->received_bytes.substr(0, 12), "HTTP/1.1 200");
   EXPECT_EQ(BodyBytes(client->received_bytes), script.pieces * script.piece_bytes);
   EXPECT_EQ(fixture.requests, 1);
@@ -187,15 +187,15 @@
 
 struct CutAnswer : ::testing::TestWithParam<CutAnswerCase> {};
 
-// Guards against a client that waits for an answer whose host has stopped, or takes it for whole: the answer
-// is ended without its last chunk, by a reset for clients of HTTP/1.0, and the request runs once.
-TEST_P(CutAnswer, IsEndedSoonAndCanBeToldFromAWholeOne) {
+// Guards against a client that waits for an answer whose host has stopped, or takes it for complete: the
+// answer is ended without its last chunk, by a reset for clients of HTTP/1.0, and the request runs once.
+TEST_P(CutAnswer, IsEndedSoonAndIsSeenToBeIncomplete) {
   const CutAnswerCase& c = GetParam();
   ScriptedWorld fixture(c.script);
   const auto client = fixture.Ask(c.class_name, c.version);
   ASSERT_TRUE(fixture.world.Until([&] { return client->is_read_closed(); }));
   EXPECT_LE(core::Now() - fixture.asked_at, c.ends_within);
-  EXPECT_FALSE(IsWhole(*client));
+  EXPECT_FALSE(IsComplete(*client));
   EXPECT_TRUE(client->reset);
   EXPECT_EQ(fixture.requests, 1);
   EXPECT_TRUE(fixture.world.Until([&] { return fixture.Counts(c.class_name)["errored"] == 1; }));
