Share the ids of open requests between the processes of an upgrade

What callers saw: while a charge-ship was open at the old process, a request with its Req-Id was taken by the new one and sent to a host: the charge ran twice, and the second client got 200 in place of 409.

Cause: Gateway::Submit looked for the id among the requests of its own process only, and nothing told the other process which ids were open.

Change: at a hot restart the predecessor creates a table in shared memory and passes it with the first part of the state (earlier versions ignore that descriptor). Each process claims an id before it takes a request, in a section of its own, and looks into the others'. No lock is shared, so a stopped process holds nothing up; a robust mutex tells whether a process still runs, so the ids of a killed one are free. Once a process is alone it drops the table.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -21,6 +21,8 @@
 // what is still not delivered is given up.
 constexpr Millis kSlowestPace = 64;
 constexpr Millis kMaxStreamTime = static_cast<Millis>(core::kMaxBodyBytes) / kSlowestPace;
+// Between checks whether another process of this gateway is still running, after a hot restart.
+constexpr Millis kSharingCheckInterval = 500;
 // From a failed call to discovery to the next one, where discovery pushes lists.
 constexpr Millis kDiscoveryRetryDelay = 200;
 
@@ -92,6 +94,7 @@
               [this](const ZoneAgreement& agreement) { core_.Report(agreement); }}),
       stop_timer_(io),
       discovery_retry_timer_(io),
+      sharing_check_timer_(io),
       clients_(io,
                {config.listen_address, config.admin_address.has_value(),
                 predecessor ? predecessor->client_listener.release() : -1},
@@ -123,6 +126,8 @@
     hot_restart_.emplace(io, config.handover_path,
                          predecessor ? std::move(predecessor->channel) : operations::Descriptor(), *this);
   }
+  if (predecessor && predecessor->request_ids)
+    ShareRequestIds(operations::SharedRequestIds::Join(std::move(predecessor->request_ids)));
   ApplyEndpointList(state ? state->hosts : config.known_endpoints);
   if (state) core_.Report(std::move(state->learned));
   if (!settings_.polls_endpoints) peers_.WatchDiscovery();
@@ -172,6 +177,28 @@
   return listeners;
 }
 
+int Service::RequestIdTable() {
+  if (!request_ids_) ShareRequestIds(operations::SharedRequestIds::Create());
+  return request_ids_ ? request_ids_->descriptor() : -1;
+}
+
+void Service::ShareRequestIds(std::unique_ptr<operations::SharedRequestIds> request_ids) {
+  if (!request_ids) return log::Write(log::Level::kWarn, "request_ids_not_shared");
+  request_ids_ = std::move(request_ids);
+  core_.ShareRequestIds(request_ids_.get());
+  ScheduleSharingCheck();
+}
+
+void Service::ScheduleSharingCheck() {
+  sharing_check_timer_.expires_after(core::ToDuration(kSharingCheckInterval));
+  sharing_check_timer_.async_wait([this](error_code ec) {
+    if (ec || !request_ids_) return;
+    if (hot_restart_->IsConnected() || request_ids_->HasOtherProcess()) return ScheduleSharingCheck();
+    core_.ShareRequestIds(nullptr);
+    request_ids_.reset();
+  });
+}
+
 std::vector<std::string> Service::PoolHostsInMaintenance() {
   return edge_ ? edge_->HostsInMaintenance() : std::vector<std::string>();
 }
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -30,6 +30,7 @@
 #include "operations/hot_restart_coordinator.hpp"
 #include "operations/hot_restart_delegate.hpp"
 #include "operations/predecessor_state.hpp"
+#include "operations/shared_request_ids.hpp"
 #include "upstream/host_pool.hpp"
 #include "upstream/tunnel_dialer.hpp"
 
@@ -98,6 +99,7 @@
   std::string SerializeState() override;
   int ClientListener() override;
   std::vector<operations::TunnelListener> TunnelListeners() override;
+  int RequestIdTable() override;
   std::vector<std::string> PoolHostsInMaintenance() override;
   std::size_t CountDescriptors() override;
   bool IsStopping() override { return stopping_; }
@@ -112,6 +114,10 @@
                    operations::Descriptor host) override;
   void OnMaintenanceChanged(const operations::MaintenanceChange& change) override;
 
+  /// Shares the ids of open requests by `request_ids` until no other process of this gateway is left; null if
+  /// sharing them failed.
+  void ShareRequestIds(std::unique_ptr<operations::SharedRequestIds> request_ids);
+  void ScheduleSharingCheck();
   /// See MaintenanceStarted::even_if_unknown.
   void ApplyMaintenance(const operations::MaintenanceChange& change, bool even_if_unknown);
   /// This gateway's own discovery client has delivered `list`.
@@ -141,6 +147,7 @@
   HostPool hosts_;
   TunnelDialer dialer_;
   SplitUpstream upstream_;
+  std::unique_ptr<operations::SharedRequestIds> request_ids_;  // null: no hot restart is in progress
   core::Gateway core_;
   discovery::DiscoveryClient discovery_;
   ClusterService peers_;
@@ -149,6 +156,7 @@
   bool stopping_ = false;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer discovery_retry_timer_;
+  boost::asio::steady_timer sharing_check_timer_;
   ClientServer clients_;
   std::optional<EdgeService> edge_;
   std::optional<operations::AdminServer> admin_;
--- a/src/core/gateway.cpp
+++ b/src/core/gateway.cpp
@@ -84,17 +84,43 @@
   for (const std::string& id : unfinished_ids) OnDeadline(id);
 }
 
-void Gateway::Submit(ClientRequest request) {
-  if (open_requests_.contains(request.id)) {  // two answers with the same id would be ambiguous
-    meadowyard::core::Answer answer;
-    answer.kind = meadowyard::core::Answer::Kind::kDuplicateId;
-    return request.on_answer(std::move(answer));
+void Gateway::ShareRequestIds(RequestIdRegistry* registry) {
+  id_registry_ = registry;
+  if (registry == nullptr) return;
+  for (const auto& [id, open_request] : open_requests_) {
+    // They were open first: a claim that fails would only leave them unprotected.
+    if (!open_request.is_tunnel) static_cast<void>(registry->Claim(id));
+  }
+}
+
+// Two answers with the same id would be ambiguous, in another process of this gateway too. The ids of tunnels
+// are each process's own.
+bool Gateway::AnswerIfIdIsTaken(const ClientRequest& request) {
+  IdClaim claim = IdClaim::kClaimed;
+  if (open_requests_.contains(request.id)) {
+    claim = IdClaim::kOpenElsewhere;
+  } else if (id_registry_ != nullptr && !request.is_tunnel) {
+    claim = id_registry_->Claim(request.id);
   }
-  if (shutting_down_) {  // the process exits before an attempt could be answered
-    metrics_.OnRequestAccepted();
-    metrics_.OnRequestFinished(request.class_name, Metrics::RequestResult::kRejected);
-    return request.on_answer(LocalAnswer(meadowyard::core::Answer::Kind::kRejected));
+  if (claim == IdClaim::kClaimed) return false;
+  if (claim == IdClaim::kOpenElsewhere) {
+    request.on_answer(LocalAnswer(meadowyard::core::Answer::Kind::kDuplicateId));
+  } else {
+    RejectUnsent(request);
   }
+  return true;
+}
+
+void Gateway::RejectUnsent(const ClientRequest& request) {
+  metrics_.OnRequestAccepted();
+  metrics_.OnRequestFinished(request.class_name, Metrics::RequestResult::kRejected);
+  request.on_answer(LocalAnswer(meadowyard::core::Answer::Kind::kRejected));
+}
+
+void Gateway::Submit(ClientRequest request) {
+  if (shutting_down_ && !open_requests_.contains(request.id))
+    return RejectUnsent(request);  // the process exits before an attempt could be answered
+  if (AnswerIfIdIsTaken(request)) return;
   OpenRequest& open_request = open_requests_.try_emplace(request.id).first->second;
   open_request.message = std::make_shared<const RequestMessage>(std::move(request.message));
   open_request.on_answer = std::move(request.on_answer);
@@ -425,6 +451,7 @@
   const auto& attempts = found->second.attempts;
   if (std::none_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.in_flight; })) {
     open_requests_.erase(found);
+    if (id_registry_ != nullptr) id_registry_->Release(id);
   }
 }
 
--- a/src/core/gateway.hpp
+++ b/src/core/gateway.hpp
@@ -16,6 +16,7 @@
 #include "core/clock.hpp"
 #include "core/message.hpp"
 #include "core/metrics.hpp"
+#include "core/request_id_registry.hpp"
 #include "core/upstream.hpp"
 #include "meadowyard/policy.hpp"
 
@@ -52,6 +53,9 @@
   void Report(Event event);
   /// Replaces the settings. Throws ConfigurationError if the policy rejects them.
   void Configure(const Settings& settings);
+  /// Claims the ids of open requests in `registry` from now on, which must outlive the gateway; null ends
+  /// this.
+  void ShareRequestIds(RequestIdRegistry* registry);
   /// Fails all unanswered requests and rejects new ones from now on, because the process is shutting down.
   void FailAll();
   /// Whether no request is open.
@@ -85,6 +89,10 @@
     std::unique_ptr<Clock::Timer> deadline_timer;
   };
 
+  // Answers a request whose id can't be used now; false if it can.
+  bool AnswerIfIdIsTaken(const ClientRequest& request);
+  // Rejects a request that no attempt was made for.
+  void RejectUnsent(const ClientRequest& request);
   // The request is complete: counts it as accepted and starts its deadline timer.
   void Accept(const std::string& id, OpenRequest& open_request);
   // When the request is failed if it is still unanswered. A body that is still arriving defers this time.
@@ -125,6 +133,7 @@
   Policy policy_;
   Metrics metrics_;
   Upstream& upstream_;
+  RequestIdRegistry* id_registry_ = nullptr;  // null: no other process of this gateway is running
   const Handlers handlers_;
   std::unordered_map<std::string, OpenRequest> open_requests_;
   std::map<std::string, std::unique_ptr<Clock::Timer>> timers_;  // the policy's, by name
--- a/src/operations/handover_channel.hpp
+++ b/src/operations/handover_channel.hpp
@@ -19,7 +19,9 @@
 
 /// The kind of a message. The values are the letters on the socket.
 enum class HandoverMessageKind : char {
-  /// To the successor: a part of the state; the first part carries the clients' listening socket.
+  /// To the successor: a part of the state; the first part carries the clients' listening socket and the
+  /// table
+  /// of open requests' ids.
   kState = 'S',
   /// To the successor: a listening socket for tunnels; the text names the listener.
   kTunnelListener = 'L',
@@ -121,7 +123,7 @@
   /// and its descriptors are queued. Messages arrive in the order of the calls. False if the channel is
   /// closed, no descriptor is free for a copy, or the queue is full.
   [[nodiscard]] bool Enqueue(const OutgoingMessage& message);
-  /// x.
+  /// Whether messages still wait for the other process to read earlier ones.
   [[nodiscard]] bool HasQueuedMessages() const;
 
  private:
--- a/src/operations/hot_restart_coordinator.cpp
+++ b/src/operations/hot_restart_coordinator.cpp
@@ -101,11 +101,18 @@
 // state.
 bool HotRestartCoordinator::EnqueueState(HandoverChannel& channel) {
   const std::string state = delegate_.SerializeState();
-  int client_listener = delegate_.ClientListener();  // sent with the first part only
+  // Both are sent with the first part only. Earlier versions ignore the second descriptor.
+  int client_listener = delegate_.ClientListener();
+  int request_ids = client_listener >= 0 ? delegate_.RequestIdTable() : -1;
   for (std::size_t sent = 0; sent < state.size(); sent += kMaxMessageTextBytes) {
     const std::string_view part = std::string_view(state).substr(sent, kMaxMessageTextBytes);
-    if (!channel.Enqueue({.kind = Kind::kState, .text = part, .descriptor = client_listener})) return false;
-    client_listener = -1;
+    if (!channel.Enqueue({.kind = Kind::kState,
+                          .text = part,
+                          .descriptor = client_listener,
+                          .second_descriptor = request_ids})) {
+      return false;
+    }
+    client_listener = request_ids = -1;
   }
   for (const TunnelListener& listener : delegate_.TunnelListeners()) {
     const OutgoingMessage message = {
--- a/src/operations/hot_restart_coordinator.hpp
+++ b/src/operations/hot_restart_coordinator.hpp
@@ -24,11 +24,11 @@
 /// hot restart:
 ///
 ///  1. The successor connects and receives the state and the listening sockets, as fast as it reads them.
-///  This
-///     process keeps serving meanwhile.
+///     This process keeps serving meanwhile. From now on the two share the ids of their open requests.
 ///  2. The successor reports that it serves. This process passes idle connections to it and finishes the open
 ///     requests.
-///  3. If the successor exits before this process does, this process serves again, unless it was told to end.
+///  3. If the successor exits before this process does, this process serves again, unless it is shutting
+///  down.
 ///
 /// While both processes run, each replicates changes to the maintenance of hosts to the other.
 class HotRestartCoordinator {
@@ -44,6 +44,8 @@
   void StartServing();
   /// Whether the successor serves instead of this process.
   [[nodiscard]] bool successor_serving() const { return successor_serving_; }
+  /// Whether there is a connection to a predecessor or a successor.
+  [[nodiscard]] bool IsConnected() const { return predecessor_ || successor_; }
 
   /// Passes a client's connection to the successor, with the part of its next request already read; false if
   /// it can't be passed now. The caller keeps ownership of its descriptor.
--- a/src/operations/hot_restart_delegate.hpp
+++ b/src/operations/hot_restart_delegate.hpp
@@ -35,11 +35,13 @@
   /// The clients' listening socket, which the gateway owns.
   virtual int ClientListener() = 0;
   virtual std::vector<TunnelListener> TunnelListeners() = 0;
+  /// The table of open requests' ids (see SharedRequestIds), which the gateway owns; -1 if there is none.
+  virtual int RequestIdTable() = 0;
   /// The hosts of the operators' pools that are in maintenance.
   virtual std::vector<std::string> PoolHostsInMaintenance() = 0;
   /// The number of file descriptors that this process has open.
   virtual std::size_t CountDescriptors() = 0;
-  /// Whether this process was told to end: it doesn't serve again if its successor exits.
+  /// Whether this process is shutting down: it doesn't serve again if its successor exits.
   virtual bool IsStopping() = 0;
   /// The successor has started to serve: the gateway passes its idle connections to it.
   /// HotRestartCoordinator::successor_serving() is already true.
--- a/src/operations/predecessor_state.cpp
+++ b/src/operations/predecessor_state.cpp
@@ -67,6 +67,7 @@
       return;
     }
     if (message.descriptor) received_.client_listener = std::move(message.descriptor);
+    if (message.second_descriptor) received_.request_ids = std::move(message.second_descriptor);
     state_size_ += text_size;
     if (buffer_.size() - state_size_ < kMaxMessageTextBytes)
       buffer_.resize(buffer_.size() + kStateBufferBytes);
--- a/src/operations/predecessor_state.hpp
+++ b/src/operations/predecessor_state.hpp
@@ -15,7 +15,8 @@
 /// The predecessor's state, its listening sockets, and the channel for the rest of the hot restart.
 struct PredecessorState {
   std::string state;           ///< JSON text; see ParseHandoverState.
-  Descriptor client_listener;  ///< Empty if the predecessor was told to end and has closed it.
+  Descriptor client_listener;  ///< Empty if the predecessor is shutting down and has closed it.
+  Descriptor request_ids;  ///< For SharedRequestIds::Join; empty if the predecessor is an earlier version.
   std::map<std::string, Descriptor> tunnel_listeners;  ///< By the listener's name.
   Descriptor channel;                                  ///< For HotRestartCoordinator.
 };
--- a/tests/operations/handover_format_test.cpp
+++ b/tests/operations/handover_format_test.cpp
@@ -461,6 +461,7 @@
             {.name = "second", .descriptor = listener.get()}};
   }
   std::vector<std::string> PoolHostsInMaintenance() override { return {}; }
+  int RequestIdTable() override { return -1; }
   std::size_t CountDescriptors() override { return 7; }
   void OnSuccessorServing() override { events.emplace_back("successor serving"); }
   bool IsStopping() override { return false; }
--- a/tests/operations/hot_restart_test.cpp
+++ b/tests/operations/hot_restart_test.cpp
@@ -26,6 +26,7 @@
   int ClientListener() override { return listener; }
   std::vector<operations::TunnelListener> TunnelListeners() override { return {}; }
   std::vector<std::string> PoolHostsInMaintenance() override { return pool_hosts_in_maintenance; }
+  int RequestIdTable() override { return -1; }
   std::size_t CountDescriptors() override { return 7; }
   bool IsStopping() override { return stopping; }
   void OnSuccessorServing() override { ++successors_serving; }
