Resolve each value of the configuration in one place, for starts, reloads and upgrades

Cause: discovery's address has three sources: NODE_DISCOVERY (that of the first start), the file, and what is in force at the predecessor. The branch for an unusable file took NODE_DISCOVERY, although the predecessor's address is in its state.

Change: config::ResolveConfiguration decides for all values from the variables, the file or its error, and what is in force; a table tests it without processes. app::ConfigurationController is its only caller. A revision is used only for the discovery that gave it. A file that SIGHUP would reject is rejected at an upgrade too. A file that is a folder or has a number as discovery no longer ends the new process. If a predecessor was found and its state was lost, the file's address is asked. The log (configuration_in_force, discovery_sources_differ) and the metrics (configuration) tell which source each value has, and why a file was not used.

Test changed: Program.ReloadsConfigurationOnSighup counted all lines of the log; the start has one now, so the test requires exactly one line for the start and one for the rejected file.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -46,6 +46,15 @@
   return limits;
 }
 
+// The revision from which to watch the discovery of `config`; empty: a complete list is requested first. Each
+// discovery service numbers its own lists, so a revision of another one must not be used.
+std::optional<std::int64_t> RevisionToWatchFrom(const config::Configuration& config,
+                                                const std::optional<operations::HandoverState>& state) {
+  if (!state) return config.known_revision;
+  const bool same_discovery = discovery::ParseAddress(state->discovery_address) == config.discovery_address;
+  return same_discovery && state->revision_known ? std::optional(state->hosts.revision) : std::nullopt;
+}
+
 // `start_times` is informed of the list.
 EndpointUpdate ToEndpointUpdate(const discovery::EndpointList& list, discovery::StartTimes& start_times) {
   EndpointUpdate update;
@@ -67,6 +76,7 @@
       config_(config),
       configuration_document_(config.document),
       settings_(config.settings),
+      connect_timeout_(config.connect_timeout),
       edge_config_(std::move(edge)),
       predecessor_descriptors_(state ? state->descriptors : 0),
       budget_(ComputeBudget(ResourcesFor(config, edge_config_.get()), predecessor_descriptors_)),
@@ -81,10 +91,7 @@
       upstream_(hosts_, dialer_),
       core_(clock_, EffectiveSettings(), config.seed, upstream_,
             {[this] { peers_.WatchDiscovery(); }, [](const Log& entry) { LogDecision(entry); }}),
-      discovery_(io, config.discovery_address,
-                 !state                  ? std::optional(config.known_endpoints.revision)
-                 : state->revision_known ? std::optional(state->hosts.revision)
-                                         : std::nullopt,
+      discovery_(io, config.discovery_address, RevisionToWatchFrom(config, state),
                  {[this](const discovery::EndpointList& list) { OnDiscoveryUpdate(list); },
                   [this] { OnDiscoveryFailed(); }}),
       peers_(io, discovery_,
@@ -272,13 +279,31 @@
     EdgeService::AddTunnelClass(config.settings, *edge_config_);  // throws before anything is changed
   configuration_document_ = config.document;
   settings_ = config.settings;
+  connect_timeout_ = config.connect_timeout;
   hosts_.SetTimes(config.connect_timeout, config.endpoint_idle_timeout);
-  core_.metrics().OnConfigurationRead(true);
   core_.Configure(EffectiveSettings());
   peers_.OnDiscoveryAddressChange(config.discovery_address);
   discovery_.SetAddress(config.discovery_address);
 }
 
+void Service::ReportConfiguration(const config::ResolvedConfiguration& resolved) {
+  core_.metrics().OnConfigurationInForce(
+      {.settings_source = config::ToString(resolved.document_source),
+       .discovery_address = discovery::FormatAddress(resolved.configuration.discovery_address),
+       .discovery_source = config::ToString(resolved.discovery_source)});
+  if (!resolved.rejection.empty()) core_.metrics().OnConfigurationRejected(resolved.rejection);
+}
+
+void Service::OnConfigurationRejected(const std::string& reason) {
+  core_.metrics().OnConfigurationRead(false);
+  core_.metrics().OnConfigurationRejected(reason);
+}
+
+void Service::RequireCompatible(const config::Configuration& config, const EdgeConfig& edge) {
+  ResourcesFor(config, &edge);
+  EdgeService::AddTunnelClass(config.settings, edge);
+}
+
 Settings Service::EffectiveSettings() const {
   // Limits the attempts in flight to the connections that the descriptor budget allows.
   Settings settings = edge_config_ ? EdgeService::AddTunnelClass(settings_, *edge_config_) : settings_;
@@ -304,7 +329,7 @@
 void Service::ReloadEdge(std::shared_ptr<const EdgeConfig> edge) {
   ResourcesFor(config_, edge.get());
   EdgeService::AddTunnelClass(settings_, *edge);
-  edge_->Reload(edge, settings_, config_.connect_timeout);
+  edge_->Reload(edge, settings_, connect_timeout_);
   edge_config_ = std::move(edge);
   budget_ = ComputeBudget(ResourcesFor(config_, edge_config_.get()), predecessor_descriptors_);
   core_.Configure(EffectiveSettings());
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "app/cluster_service.hpp"
@@ -21,6 +22,7 @@
 #include "app/end_log.hpp"
 #include "app/stall_detector.hpp"
 #include "config/config.hpp"
+#include "config/configuration_resolver.hpp"
 #include "core/budget.hpp"
 #include "core/gateway.hpp"
 #include "discovery/discovery.hpp"
@@ -58,6 +60,9 @@
   /// The address of the admin server. Throws std::bad_optional_access if none is configured.
   boost::asio::ip::tcp::endpoint admin_address() const { return admin_.value().address(); }
 
+  /// Throws EdgeError if `edge` can't be used together with `config`.
+  static void RequireCompatible(const config::Configuration& config, const EdgeConfig& edge);
+
   /// Applies the parts of a changed configuration that may change while the gateway runs: the settings and
   /// the address of discovery. Throws EdgeError, with nothing changed, if the settings already have
   /// the tunnels' class.
@@ -69,8 +74,17 @@
   void ConfigurePeers(membership::PeersConfig peers);
   /// Throws std::bad_optional_access without an operators' file for tunnels.
   EdgeService& edge() { return edge_.value(); }
-  /// Counts a changed configuration that was rejected.
-  void OnConfigurationRejected() { core_.metrics().OnConfigurationRead(false); }
+
+  /// The configuration that Reload applied last, or that the gateway was started with.
+  config::ConfigurationInForce configuration_in_force() const {
+    return {configuration_document_, discovery_.address()};
+  }
+  /// Shows operators which configuration is in effect.
+  void ReportConfiguration(const config::ResolvedConfiguration& resolved);
+  /// Counts a configuration that was accepted at SIGHUP.
+  void OnConfigurationAccepted() { core_.metrics().OnConfigurationRead(true); }
+  /// Counts a configuration that was rejected at SIGHUP; `reason` is one line.
+  void OnConfigurationRejected(const std::string& reason);
 
   /// The phases of a graceful shutdown, in ms from its start. With deadlines of 3 s or more, SIGKILL comes at
   /// 3,700 ms or later.
@@ -140,6 +154,7 @@
   const config::Configuration config_;                            // as loaded at the start
   std::shared_ptr<const nlohmann::json> configuration_document_;  // of the configuration in force
   Settings settings_;                                             // of the configuration in force
+  Millis connect_timeout_;                                        // of the configuration in force
   std::shared_ptr<const EdgeConfig> edge_config_;                 // null: no tunnels
   std::size_t predecessor_descriptors_ = 0;  // file descriptors that the predecessor holds
   // From the peers file. Declared before core_, which is constructed with EffectiveSettings().
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <vector>
 
+#include "config/configuration_resolver.hpp"
 #include "simulator/settings_parser.hpp"
 
 namespace meadowyard::config {
@@ -98,7 +98,7 @@
 // Checks that a file has all required keys of the file that it replaces: a truncated file, or one that lost a
 // line, can still be valid JSON. Items of a list may be added or removed, but each item must have the keys
 // that all items of the replaced list have in common.
-void RequireKeysInForce(const json& in_force_node, const json& file, const std::string& path) {
+void RequireKeysAt(const std::string& path, const json& in_force_node, const json& file) {
   for (const auto& [key, value] : in_force_node.items()) {
     if (value.is_null() || IsOptionalKey(key)) continue;
     const std::string name = path.empty() ? key : path + "." + key;
@@ -106,7 +106,7 @@
     if (value.is_object() != file[key].is_object() || value.is_array() != file[key].is_array()) {
       throw ConfigurationError(name + ": its JSON type differs from the configuration in force");
     }
-    if (value.is_object()) RequireKeysInForce(value, file[key], name);
+    if (value.is_object()) RequireKeysAt(name, value, file[key]);
     if (!value.is_array() || value.empty() || !value.front().is_object()) continue;
     json common_keys = value.front();
     for (const json& item : value) {
@@ -117,27 +117,58 @@
     for (const json& item : file[key]) {
       if (!item.is_object())
         throw ConfigurationError(name + ": must hold objects, as in the configuration in force");
-      RequireKeysInForce(common_keys, item, name);
+      RequireKeysAt(name, common_keys, item);
     }
   }
 }
 
 // Reads an address from the environment variable or, if that is not set, from the field of the file.
-boost::asio::ip::tcp::endpoint ReadAddress(const char* variable, const std::string& name, const json& file,
+boost::asio::ip::tcp::endpoint ReadAddress(const std::optional<std::string>& variable,
+                                           const std::string& name, const json& file,
                                            const std::string& field) {
-  std::string text;
-  if (variable != nullptr) {
-    text = variable;
-  } else if (file.contains(field) && file[field].is_string()) {
-    text = file[field].get<std::string>();
-  } else {
+  if (!variable && !(file.contains(field) && file[field].is_string()))
     throw ConfigurationError(name + ": not set");
-  }
+  const std::string text = variable ? *variable : file[field].get<std::string>();
   const auto endpoint = discovery::ParseAddress(text);
   if (!endpoint) throw ConfigurationError(name + ": '" + text + "' is not an address and port");
   return *endpoint;
 }
 
+std::optional<std::string> ReadName(const json& file, const Environment& environment) {
+  if (environment.name) return environment.name;
+  if (!file.contains("name") || file["name"].is_null()) return std::nullopt;
+  if (!file["name"].is_string()) throw ConfigurationError("name: must be a string");
+  return file["name"].get<std::string>();
+}
+
+std::uint64_t ReadSeed(const json& file) {
+  if (!file.contains("seed")) return 0;
+  constexpr int kHexadecimal = 16;
+  const std::string text = ToScalarText(file["seed"]);
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, kHexadecimal);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw ConfigurationError("seed: '" + text + "' is not a number of up to 16 hexadecimal digits");
+  }
+  return seed;
+}
+
+// The address of the admin interface and the socket path for hot restart, which needs it.
+void ReadAdmin(const json& file, const Environment& environment, Configuration& config) {
+  if (!environment.admin && !file.contains("admin")) return;
+  config.admin_address = ReadAddress(environment.admin, "NODE_ADMIN", file, "admin");
+  if (!environment.temporary_directory) return;
+  config.handover_path =
+      HandoverSocketPath(*environment.temporary_directory, discovery::FormatAddress(config.listen_address));
+}
+
+void ReadKnownEndpoints(const json& file, Configuration& config) {
+  if (!file.contains("known") || file["known"].is_null()) return;
+  const auto known = discovery::ParseEndpointList(file["known"].dump());
+  if (!known) throw ConfigurationError("known: not a list of hosts in the discovery service's JSON format");
+  config.known_endpoints = *known;
+}
+
 }  // namespace
 
 std::string HandoverSocketPath(const std::string& folder, const std::string& listen) {
@@ -147,36 +178,27 @@
   return path.size() > kMaxSocketPathLength ? "" : path;
 }
 
-Configuration LoadConfiguration(const std::function<const char*(const char*)>& variable,
-                                const json* in_force) {
-  const char* const path = variable("NODE_CONFIG");
-  if (path == nullptr) throw ConfigurationError("NODE_CONFIG: not set");
-  std::ifstream stream(path);
-  if (!stream) throw ConfigurationError(std::string("NODE_CONFIG: can't read '") + path + "'");
-  json file = json::parse(stream, nullptr, /*allow_exceptions=*/false);
-  if (!file.is_object())
-    throw ConfigurationError(std::string("NODE_CONFIG: '") + path + "' is not a JSON object");
-  if (in_force != nullptr) RequireKeysInForce(*in_force, file, "");
-  return ParseConfiguration(std::move(file), variable);
+Environment ReadEnvironment(const VariableLookup& lookup) {
+  const auto read = [&lookup](const char* name) {
+    const char* const value = lookup(name);
+    return value != nullptr ? std::optional<std::string>(value) : std::nullopt;
+  };
+  return {.config_path = read("NODE_CONFIG"),
+          .name = read("NODE_NAME"),
+          .listen = read("NODE_LISTEN"),
+          .discovery = read("NODE_DISCOVERY"),
+          .admin = read("NODE_ADMIN"),
+          .temporary_directory = read("TMPDIR")};
 }
 
-Configuration ParseConfiguration(json file, const std::function<const char*(const char*)>& variable) {
+void RequireKeysInForce(const json& in_force, const json& file) { RequireKeysAt("", in_force, file); }
+
+Configuration ParseConfiguration(json file, const Environment& environment) {
   Configuration config;
-  config.listen_address = ReadAddress(variable("NODE_LISTEN"), "NODE_LISTEN", file, "listen");
-  config.discovery_address = ReadAddress(variable("NODE_DISCOVERY"), "NODE_DISCOVERY", file, "discovery");
-  if (variable("NODE_ADMIN") != nullptr || file.contains("admin")) {
-    config.admin_address = ReadAddress(variable("NODE_ADMIN"), "NODE_ADMIN", file, "admin");
-    const char* const folder = variable("TMPDIR");
-    if (folder != nullptr)
-      config.handover_path = HandoverSocketPath(folder, discovery::FormatAddress(config.listen_address));
-  }
-  if (file.contains("seed")) {
-    const std::string text = ToScalarText(file["seed"]);
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), config.seed, 16);
-    if (error != std::errc() || end != text.data() + text.size()) {
-      throw ConfigurationError("seed: '" + text + "' is not a number of up to 16 hexadecimal digits");
-    }
-  }
+  config.name = ReadName(file, environment);
+  config.listen_address = ReadAddress(environment.listen, "NODE_LISTEN", file, "listen");
+  ReadAdmin(file, environment, config);
+  config.seed = ReadSeed(file);
   config.max_descriptors = static_cast<std::size_t>(ReadPositive(file, "/limits/sockets", 1024));
   config.memory_limit_mb = ReadPositive(file, "/limits/memory_mb", config.memory_limit_mb);
   config.settings = ReadSettings(file);
@@ -184,14 +206,16 @@
   config.connect_timeout = ReadPositive(file, "/settings/limits/dialTimeoutMs", config.connect_timeout);
   config.endpoint_idle_timeout =
       ReadPositive(file, "/settings/limits/connIdleMs", config.endpoint_idle_timeout);
-  if (file.contains("known") && !file["known"].is_null()) {
-    const auto known = discovery::ParseEndpointList(file["known"].dump());
-    if (!known) throw ConfigurationError("known: not a list of hosts in the discovery service's JSON format");
-    config.known_endpoints = *known;
-  }
+  ReadKnownEndpoints(file, config);
   file.erase("known");
   config.document = std::make_shared<const json>(std::move(file));
   return config;
 }
 
+Configuration LoadConfiguration(const VariableLookup& lookup) {
+  const Environment environment = ReadEnvironment(lookup);
+  const ConfigurationFile file = ReadConfigurationFile(environment);
+  return ResolveConfiguration(Occasion::kStart, environment, file, nullptr).configuration;
+}
+
 }  // namespace meadowyard::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -20,8 +20,24 @@
 
 namespace meadowyard::config {
 
+/// The environment variables that a configuration is read from; empty ones are not set.
+struct Environment {
+  std::optional<std::string> config_path;          ///< NODE_CONFIG: the path of the file.
+  std::optional<std::string> name;                 ///< NODE_NAME
+  std::optional<std::string> listen;               ///< NODE_LISTEN
+  std::optional<std::string> discovery;            ///< NODE_DISCOVERY
+  std::optional<std::string> admin;                ///< NODE_ADMIN
+  std::optional<std::string> temporary_directory;  ///< TMPDIR
+};
+
+/// Looks up an environment variable; returns null if it is not set.
+using VariableLookup = std::function<const char*(const char* name)>;
+
+Environment ReadEnvironment(const VariableLookup& lookup);
+
 /// A validated configuration.
 struct Configuration {
+  std::optional<std::string> name;  ///< Of this gateway among its peers.
   boost::asio::ip::tcp::endpoint listen_address;
   boost::asio::ip::tcp::endpoint discovery_address;
   std::optional<boost::asio::ip::tcp::endpoint> admin_address;  ///< Of the admin interface, if it is enabled.
@@ -32,6 +48,8 @@
   Millis connect_timeout = 250;
   Millis endpoint_idle_timeout = 15000;     ///< Hosts close connections that have been idle for this long.
   discovery::EndpointList known_endpoints;  ///< Initial host list; may be outdated.
+  /// The revision of `known_endpoints`; empty if it may be of another discovery.
+  std::optional<std::int64_t> known_revision;
   /// Path of the Unix domain socket for hot restart; empty if hot restart is disabled.
   std::string handover_path;
   std::shared_ptr<const nlohmann::json> document;  ///< The file as read, without the host list.
@@ -41,15 +59,17 @@
 /// hands over to its successor. Empty if the path would exceed the limit for socket paths.
 std::string HandoverSocketPath(const std::string& folder, const std::string& listen);
 
-/// Reads and validates the configuration. Throws ConfigurationError if any part of it can't be used.
-/// @param variable  looks up an environment variable; returns null if it is not set
-/// @param in_force  the document that the new one replaces, or null. The new one must have all of its keys,
-///                  except optional ones.
-Configuration LoadConfiguration(const std::function<const char*(const char*)>& variable,
-                                const nlohmann::json* in_force = nullptr);
-/// The same for a file that has been read already; doesn't compare it with a previous one.
-Configuration ParseConfiguration(nlohmann::json file,
-                                 const std::function<const char*(const char*)>& variable);
+/// Validates a file that has been read. Discovery's address is left unset, see ResolveConfiguration. Throws
+/// std::exception, usually ConfigurationError, if any part of it can't be used.
+Configuration ParseConfiguration(nlohmann::json file, const Environment& environment);
+
+/// Checks that `file` has all keys of `in_force`, the document that it replaces, except optional ones. Throws
+/// ConfigurationError that names the key.
+void RequireKeysInForce(const nlohmann::json& in_force, const nlohmann::json& file);
+
+/// The configuration of a process that starts without a predecessor. Throws ConfigurationError if any part of
+/// it can't be used.
+Configuration LoadConfiguration(const VariableLookup& lookup);
 
 }  // namespace meadowyard::config
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -45,7 +45,12 @@
                                   {"attempt_ends", attempt_ends_},
                                   {"client_connection_ends", connection_ends_},
                                   {"conf_loaded", configurations_loaded_},
-                                  {"conf_invalid", configurations_rejected_}};
+                                  {"conf_invalid", configurations_rejected_},
+                                  {"configuration",
+                                   {{"settings_from", configuration_.settings_source},
+                                    {"discovery", configuration_.discovery_address},
+                                    {"discovery_from", configuration_.discovery_source},
+                                    {"last_rejection", last_rejection_}}}};
   // Class names come from a file: invalid UTF-8 in one is replaced, as it would otherwise make dump() throw.
   return metrics.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/core/metrics.hpp
+++ b/src/core/metrics.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/attempt_end.hpp"
@@ -14,6 +15,13 @@
 
 namespace meadowyard::core {
 
+/// Which configuration is in force, and where it comes from.
+struct ConfigurationStatus {
+  std::string settings_source;    ///< "file", or "in_force": the predecessor's or the other process's.
+  std::string discovery_address;  ///< "ADDRESS:PORT"
+  std::string discovery_source;   ///< As `settings_source`, or "environment".
+};
+
 /// Counters over all requests and for each traffic class.
 class Metrics {
  public:
@@ -36,6 +44,11 @@
   /// A configuration file was read at SIGHUP, and applied or rejected as invalid.
   void OnConfigurationRead(bool valid) { ++(valid ? configurations_loaded_ : configurations_rejected_); }
 
+  /// A configuration is in force now.
+  void OnConfigurationInForce(ConfigurationStatus status) { configuration_ = std::move(status); }
+  /// A configuration file was not used; `reason` is one line.
+  void OnConfigurationRejected(const std::string& reason) { last_rejection_ = reason; }
+
   /// All counters as one JSON object, with `stats` of the policy.
   std::string ToJson(const Policy::Stats& stats) const;
 
@@ -44,6 +57,8 @@
     std::uint64_t answered = 0, deferred = 0, errored = 0, sends = 0;
     bool in_settings = true;  // the class exists in the settings in force
   };
+  ConfigurationStatus configuration_;
+  std::string last_rejection_;  // empty: none
   std::map<std::string, Counts> classes_;
   std::map<std::string, std::uint64_t> attempt_ends_, connection_ends_;  // by reason
   std::uint64_t open_requests_ = 0, sends_ = 0, configurations_loaded_ = 0, configurations_rejected_ = 0;
--- a/src/operations/hot_restart_coordinator.cpp
+++ b/src/operations/hot_restart_coordinator.cpp
@@ -14,7 +14,7 @@
 using Kind = HandoverMessageKind;
 
 constexpr Millis kDescriptorCountInterval = 100;  // between reports of open descriptors to the successor
-// Longer than a successor waits for the state (see RequestPredecessorState). One that has not read it by then
+// Longer than a successor waits for the state (see FindPredecessor). One that has not read it by then
 // is disconnected, so that it neither keeps memory in use nor keeps another successor out.
 constexpr Millis kStateTransferTimeout = 4000;
 
--- a/src/operations/predecessor_state.cpp
+++ b/src/operations/predecessor_state.cpp
@@ -80,23 +80,26 @@
 
 }  // namespace
 
-std::optional<PredecessorState> RequestPredecessorState(const std::string& path) {
-  if (path.empty()) return std::nullopt;
+PredecessorSearch FindPredecessor(const std::string& path) {
+  PredecessorSearch search;
+  if (path.empty()) return search;
   const Millis deadline = core::Now() + kStateTimeout;
   for (;;) {
     PredecessorState received;
     StateReceiver receiver(received);  // allocates before the predecessor is asked
     received.channel = ConnectUnixSocket(path);
-    if (!received.channel) return std::nullopt;
+    if (!received.channel) break;
+    search.found = true;
     if (receiver.Receive(deadline)) {
       received.state = receiver.TakeState();
-      return received;
+      search.predecessor = std::move(received);
+      return search;
     }
     if (core::Now() + kRetryInterval >= deadline) break;
     std::this_thread::sleep_for(core::ToDuration(kRetryInterval));
   }
-  log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "state_not_received"}});
-  return std::nullopt;
+  if (search.found) log::Write(log::Level::kWarn, "hot_restart_failed", {{"reason", "state_not_received"}});
+  return search;
 }
 
 }  // namespace meadowyard::operations
--- a/src/operations/predecessor_state.hpp
+++ b/src/operations/predecessor_state.hpp
@@ -21,12 +21,18 @@
   Descriptor channel;                                  ///< For HotRestartCoordinator.
 };
 
+/// The result of FindPredecessor.
+struct PredecessorSearch {
+  bool found = false;  ///< A process of this gateway listens, or listened when the search began.
+  std::optional<PredecessorState> predecessor;  ///< Empty although `found`: its state was lost.
+};
+
 /// Requests the state of the process that listens at `path` (see config::HandoverSocketPath). Blocks for up
 /// to three seconds, and asks again if that process ends the connection before the state is complete: it may
 /// be busy with another successor, which then listens at `path`, or be of an earlier version, which gives up
-/// while the state waits to be read. std::nullopt if `path` is empty, no process of this user listens there,
-/// or the state is not complete in time.
-[[nodiscard]] std::optional<PredecessorState> RequestPredecessorState(const std::string& path);
+/// while the state waits to be read. Nothing is found if `path` is empty or no process of this user listens
+/// there; the state is lost if it is not complete in time.
+[[nodiscard]] PredecessorSearch FindPredecessor(const std::string& path);
 
 }  // namespace meadowyard::operations
 
--- a/src/operations/settings_reloader.cpp
+++ b/src/operations/settings_reloader.cpp
@@ -5,20 +5,25 @@
 
 namespace meadowyard::operations {
 
-SettingsReloader::SettingsReloader(VariableLookup lookup_variable,
-                                   const config::Configuration& initial_configuration, Callbacks callbacks)
-    : lookup_variable_(std::move(lookup_variable)),
-      callbacks_(std::move(callbacks)),
-      current_file_(initial_configuration.document) {}
+SettingsReloader::SettingsReloader(config::Environment environment, InForce in_force, Callbacks callbacks)
+    : environment_(std::move(environment)),
+      in_force_(std::move(in_force)),
+      callbacks_(std::move(callbacks)) {}
 
-void SettingsReloader::Reload() {
+bool SettingsReloader::Reload() {
   try {
-    const config::Configuration config = config::LoadConfiguration(lookup_variable_, current_file_.get());
-    callbacks_.on_accepted(config);
-    current_file_ = config.document;
+    const config::ConfigurationInForce in_force = in_force_();
+    const config::ResolvedConfiguration resolved = config::ResolveConfiguration(
+        config::Occasion::kReload, environment_, config::ReadConfigurationFile(environment_), &in_force);
+    if (resolved.rejection.empty()) {
+      callbacks_.on_accepted(resolved);
+      return true;
+    }
+    callbacks_.on_rejected(resolved.rejection);
   } catch (const std::exception& error) {
     callbacks_.on_rejected(error.what());
   }
+  return false;
 }
 
 }  // namespace meadowyard::operations
--- a/src/operations/settings_reloader.hpp
+++ b/src/operations/settings_reloader.hpp
@@ -4,11 +4,10 @@
 #define MEADOWYARD_OPERATIONS_SETTINGS_RELOADER_HPP_
 
 #include <functional>
-#include <memory>
-#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 #include "config/config.hpp"
+#include "config/configuration_resolver.hpp"
 
 namespace meadowyard::operations {
 
@@ -18,24 +17,23 @@
  public:
   struct Callbacks {
     /// Applies a valid configuration. If it throws a std::exception, the configuration is rejected.
-    std::function<void(const config::Configuration&)> on_accepted;
+    std::function<void(const config::ResolvedConfiguration&)> on_accepted;
     /// `reason` is one line that names the invalid field.
     std::function<void(const std::string& reason)> on_rejected;
   };
-  /// Looks up an environment variable; null if it is not set.
-  using VariableLookup = std::function<const char*(const char* name)>;
+  /// Returns the configuration in force.
+  using InForce = std::function<config::ConfigurationInForce()>;
 
-  /// `initial_configuration` is the configuration that the gateway was started with.
-  SettingsReloader(VariableLookup lookup_variable, const config::Configuration& initial_configuration,
-                   Callbacks callbacks);
+  SettingsReloader(config::Environment environment, InForce in_force, Callbacks callbacks);
 
-  /// Reads the file and calls exactly one of the callbacks.
-  void Reload();
+  /// Reads the file and calls on_accepted, on_rejected, or on_rejected after on_accepted has thrown. Returns
+  /// whether the file is in force now.
+  bool Reload();
 
  private:
-  const VariableLookup lookup_variable_;
+  const config::Environment environment_;
+  const InForce in_force_;
   const Callbacks callbacks_;
-  std::shared_ptr<const nlohmann::json> current_file_;
 };
 
 }  // namespace meadowyard::operations
--- a/tests/operations/admin_test.cpp
+++ b/tests/operations/admin_test.cpp
@@ -117,6 +117,8 @@
   metrics.OnAttemptEnded(core::AttemptEndReason::kResponseStalled);
   metrics.OnAttemptEnded(core::AttemptEndReason::kResponseStalled);
   metrics.OnClientConnectionClosed("idle");
+  metrics.OnConfigurationInForce({"file", "127.0.0.1:1", "environment"});
+  metrics.OnConfigurationRejected("limits: missing");
   const auto json = nlohmann::json::parse(metrics.ToJson({7, 2}));
   const auto class_counts = [](int answered, int deferred, int errored, int sends) {
     return nlohmann::json{
@@ -131,7 +133,12 @@
       {"attempt_ends", {{"response_complete", 1}, {"response_stalled", 2}}},
       {"client_connection_ends", {{"idle", 1}}},
       {"conf_loaded", 1},
-      {"conf_invalid", 2}};
+      {"conf_invalid", 2},
+      {"configuration",
+       {{"settings_from", "file"},
+        {"discovery", "127.0.0.1:1"},
+        {"discovery_from", "environment"},
+        {"last_rejection", "limits: missing"}}}};
   EXPECT_EQ(json, expected);
 }
 
--- a/tests/operations/hot_restart_test.cpp
+++ b/tests/operations/hot_restart_test.cpp
@@ -79,7 +79,7 @@
   asio::io_context io;
   TemporaryFolder folder;
   const std::string path = meadowyard::config::HandoverSocketPath(folder.path, "x");
-  EXPECT_FALSE(operations::RequestPredecessorState(path));
+  EXPECT_FALSE(operations::FindPredecessor(path).found);
   tcp::acceptor listening_socket(io, Loopback());
   FakeGateway old_gateway;
   FakeGateway new_gateway;
@@ -88,7 +88,7 @@
   operations::HotRestartCoordinator old_coordinator(io, path, operations::Descriptor(), old_gateway);
   old_coordinator.StartServing();
   auto state_request =
-      std::async(std::launch::async, [&] { return operations::RequestPredecessorState(path); });
+      std::async(std::launch::async, [&] { return operations::FindPredecessor(path).predecessor; });
   ASSERT_TRUE(RunUntil(
       io, [&] { return state_request.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
   auto predecessor = state_request.get();
@@ -150,7 +150,8 @@
   }
   // Requests the state as a starting process does, in a thread, while this predecessor's event loop runs.
   std::optional<operations::PredecessorState> RequestState(const std::function<void()>& meanwhile = [] {}) {
-    auto request = std::async(std::launch::async, [&] { return operations::RequestPredecessorState(path); });
+    auto request =
+        std::async(std::launch::async, [&] { return operations::FindPredecessor(path).predecessor; });
     EXPECT_TRUE(RunUntil(io, [&] {
       meanwhile();
       return request.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
@@ -222,7 +223,8 @@
     EXPECT_TRUE(operations::SendMessage(connection.get(), {}));  // kStateComplete
   });
   ASSERT_TRUE(listener.Listen());
-  auto request = std::async(std::launch::async, [&] { return operations::RequestPredecessorState(path); });
+  auto request =
+      std::async(std::launch::async, [&] { return operations::FindPredecessor(path).predecessor; });
   ASSERT_TRUE(
       RunUntil(io, [&] { return request.wait_for(std::chrono::seconds(0)) == std::future_status::ready; }));
   const auto received = request.get();
--- a/tests/operations/settings_reloader_test.cpp
+++ b/tests/operations/settings_reloader_test.cpp
@@ -20,10 +20,15 @@
             {"limits", {{"sockets", 300}}},
             {"settings", TestSettings()}};
     Write(file.dump());
+    const auto initial = meadowyard::config::LoadConfiguration(Variable());
+    in_force = {initial.document, initial.discovery_address};
     settings.emplace(
-        Variable(), meadowyard::config::LoadConfiguration(Variable()),
+        meadowyard::config::ReadEnvironment(Variable()), [this] { return in_force; },
         operations::SettingsReloader::Callbacks{
-            [this](const meadowyard::config::Configuration& config) { accepted.push_back(config); },
+            [this](const meadowyard::config::ResolvedConfiguration& resolved) {
+              accepted.push_back(resolved.configuration);
+              in_force = {resolved.configuration.document, resolved.configuration.discovery_address};
+            },
             [this](const std::string& reason) { rejected.push_back(reason); }});
   }
   ~ReloadFixture() { std::remove(path.c_str()); }
@@ -35,6 +40,7 @@
 
   const std::string path = ::testing::TempDir() + "meadowyard-live-" + std::to_string(getpid()) + ".json";
   nlohmann::json file;
+  meadowyard::config::ConfigurationInForce in_force;
   std::vector<meadowyard::config::Configuration> accepted;
   std::vector<std::string> rejected;
   std::optional<operations::SettingsReloader> settings;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -275,11 +275,15 @@
   const TemporaryFile file(config.dump());
   Process process({{"NODE_CONFIG", file.path}, {"NODE_DISCOVERY", ToText(old_discovery.address())}});
   ASSERT_TRUE(RunUntil(io, [&] { return old_discovery.requests.size() == 1; }));
+  const std::string start_log = process.Errors();
+  EXPECT_EQ(std::count(start_log.begin(), start_log.end(), '\n'), 1) << start_log;
   std::ofstream(file.path) << "{\"discovery\":";
   process.HangUp();
-  ASSERT_TRUE(RunUntil(io, [&] { return !process.Errors().empty() && process.Errors().back() == '\n'; }));
-  const std::string errors = process.Errors();
+  const auto reload_log = [&] { return process.Errors().substr(start_log.size()); };
+  ASSERT_TRUE(RunUntil(io, [&] { return !reload_log().empty() && reload_log().back() == '\n'; }));
+  const std::string errors = reload_log();
   EXPECT_EQ(std::count(errors.begin(), errors.end(), '\n'), 1) << errors;
+  EXPECT_NE(errors.find("configuration_kept"), std::string::npos) << errors;
   EXPECT_FALSE(old_discovery.connections[0]->ended);
   config["discovery"] = ToText(new_discovery.address());
   std::ofstream(file.path) << config.dump();
