Take shared endpoint lists only from leaders that watch the same discovery

Callers: with share_list, a gateway that had moved to another discovery took the list, or a confirmation of its own list, from a leader that still watched the former one, by the revision alone. Each discovery numbers its own lists, so draining hosts could come back, or the gateway stopped to watch the discovery that it had moved to.

Cause: an endpoint list part named a revision and not the discovery that it belongs to.

Change: parts carry the address of the leader's discovery, in a field that earlier versions ignore; a follower of another discovery rejects them and watches its own.

--- a/src/app/cluster_service.cpp
+++ b/src/app/cluster_service.cpp
@@ -86,7 +86,8 @@
                                       discovery_.SetRevision(list.revision);
                                       handlers_.on_endpoint_list(std::move(list));
                                     },
-                                    [this](bool watch) { watch ? discovery_.Start() : discovery_.Stop(); }});
+                                    [this](bool watch) { watch ? discovery_.Start() : discovery_.Stop(); },
+                                    [this] { return discovery::FormatAddress(discovery_.address()); }});
 }
 
 void ClusterService::StartZoneStateCoordinator() {
