Apply a reload completely or not at all

Callers: if a step of a reload threw, the file, the settings and the count of loaded files were replaced already, and the decision module and the address of discovery were not; the next upgrade was handed the file that was counted as rejected.

Cause: Service::Reload assigned what is in force before the steps that can fail. DiscoveryClient::SetAddress kept the new address, with no call pending, if the first call could not be made.

Change: what can throw comes first and is undone; what is in force is assigned last.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -275,15 +275,19 @@
 }
 
 void Service::Reload(const config::Configuration& config) {
-  if (edge_config_)
-    EdgeService::AddTunnelClass(config.settings, *edge_config_);  // throws before anything is changed
-  configuration_document_ = config.document;
+  const Settings effective = EffectiveSettings(config.settings);
+  try {
+    core_.Configure(effective);
+    peers_.OnDiscoveryAddressChange(config.discovery_address);
+    discovery_.SetAddress(config.discovery_address);
+  } catch (...) {
+    core_.Configure(EffectiveSettings());
+    throw;
+  }
   settings_ = config.settings;
+  configuration_document_ = config.document;
   connect_timeout_ = config.connect_timeout;
   hosts_.SetTimes(config.connect_timeout, config.endpoint_idle_timeout);
-  core_.Configure(EffectiveSettings());
-  peers_.OnDiscoveryAddressChange(config.discovery_address);
-  discovery_.SetAddress(config.discovery_address);
 }
 
 void Service::ReportConfiguration(const config::ResolvedConfiguration& resolved) {
@@ -304,9 +308,9 @@
   EdgeService::AddTunnelClass(config.settings, edge);
 }
 
-Settings Service::EffectiveSettings() const {
+Settings Service::EffectiveSettings(const Settings& configured) const {
   // Limits the attempts in flight to the connections that the descriptor budget allows.
-  Settings settings = edge_config_ ? EdgeService::AddTunnelClass(settings_, *edge_config_) : settings_;
+  Settings settings = edge_config_ ? EdgeService::AddTunnelClass(configured, *edge_config_) : configured;
   settings.max_attempts_in_flight = static_cast<int>(budget_.host_connections);
   settings.subset_size = subset_size_;
   settings.zone_routing = zone_routing_;
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -64,8 +64,8 @@
   static void RequireCompatible(const config::Configuration& config, const EdgeConfig& edge);
 
   /// Applies the parts of a changed configuration that may change while the gateway runs: the settings and
-  /// the address of discovery. Throws EdgeError, with nothing changed, if the settings already have
-  /// the tunnels' class.
+  /// the address of discovery. Throws std::exception, with the former settings and address in effect, if they
+  /// can't be used.
   void Reload(const config::Configuration& config);
   /// Applies a changed operators' file for tunnels. Throws std::exception, with nothing changed, if the file
   /// can't be used.
@@ -145,7 +145,8 @@
   void OnDiscoveryFailed();
   /// The settings for the core: the configured ones with the tunnels' class, the descriptor budget and the
   /// peers file applied.
-  Settings EffectiveSettings() const;
+  Settings EffectiveSettings() const { return EffectiveSettings(settings_); }
+  Settings EffectiveSettings(const Settings& configured) const;
   EdgeService::DiscoveredPool DiscoveredPoolForTunnels();
   /// Why a discovered host gets no new tunnels; empty if it may get them.
   std::string IneligibilityReason(const std::string& host) const;
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -148,12 +148,20 @@
 
 void DiscoveryClient::SetAddress(const tcp::endpoint& address) {
   if (address == address_) return;
-  address_ = address;
+  const tcp::endpoint previous_address = std::exchange(address_, address);
   revision_.reset();
   ++generation_;
   AbortPoll();
   watching_ = true;
-  StartPoll();
+  try {
+    StartPoll();
+  } catch (...) {
+    address_ = previous_address;
+    AbortPoll();
+    watching_ = false;
+    callbacks_.on_failure();
+    throw;
+  }
 }
 
 bool DiscoveryClient::PollAgainSince(Millis since) {
--- a/src/discovery/discovery.hpp
+++ b/src/discovery/discovery.hpp
@@ -57,7 +57,7 @@
   /// Begins a watch from the last known revision; does nothing while one is running.
   void Start();
   /// Switches to a discovery service at another address: answers of the old one are ignored, and a snapshot
-  /// is requested.
+  /// is requested. If it throws, usually for lack of memory, the watch of the old one has failed.
   void SetAddress(const boost::asio::ip::tcp::endpoint& address);
 
   /// Polls again from the last known revision on a connection established after `since`. A pending poll on an
@@ -85,9 +85,8 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
-  std::optional<std::int64_t> revision_;
-  Millis answered_at_ = 0;  // when the last answer was received; 0: none was  // empty after an address
-                            // change: each service numbers its own
+  std::optional<std::int64_t> revision_;  // empty after an address change: each service numbers its own
+  Millis answered_at_ = 0;                // when the last answer was received; 0: none was
   const Callbacks callbacks_;
   std::shared_ptr<boost::asio::ip::tcp::socket> socket_;  // always open; reused by the polls of a watch
   bool connected_ = false;
--- a/tests/operations/settings_reloader_test.cpp
+++ b/tests/operations/settings_reloader_test.cpp
@@ -120,6 +120,33 @@
   return config;
 }
 
+// Guards against a configuration that is applied in part because a step fails: what is handed over, shown and
+// used has to stay as it was.
+TEST(SettingsReloader, AppliesAllOfAConfigurationOrNothing) {
+  World world(1, TestSettings(), 300, /*enable_admin=*/true);
+  operations::HotRestartDelegate& gateway = *world.gateway;
+  ASSERT_TRUE(world.Until([&] { return world.discovery.requests.size() == 1; }));
+  const std::string state_before = gateway.SerializeState();
+  Peer other_discovery(world.io);
+  meadowyard::config::Configuration config = WithChangedSettings(world, [](Settings& settings) {
+    settings.max_attempts = 0;  // rejected by the decision module, the last of the steps
+    settings.classes.pop_back();
+  });
+  config.discovery_address = other_discovery.address();
+  config.document = std::make_shared<const nlohmann::json>(nlohmann::json::object());
+  EXPECT_THROW(world.gateway->Reload(config), ConfigurationError);
+  EXPECT_EQ(nlohmann::json::parse(gateway.SerializeState())["file"],
+            nlohmann::json::parse(state_before)["file"]);
+  EXPECT_EQ(discovery::FormatAddress(world.gateway->configuration_in_force().discovery_address),
+            ToText(world.discovery.address()));
+  const auto client = world.Connect();
+  client->Send(ApiCall("r1", "pay"));
+  ASSERT_TRUE(world.Until([&] { return world.host(0).requests.size() == 1; }));
+  world.host(0).requests[0].Answer(200, "");
+  EXPECT_EQ(client->Await().result_int(), 200u);
+  EXPECT_TRUE(other_discovery.requests.empty());
+}
+
 // Guards requests while their class changes: an open request keeps the settings under which it arrived, a
 // client that still sends the class's former method or key is accepted for a transition period, and the new
 // settings apply to requests that follow them.
