Pass reloads on between the processes of a hot restart

Callers: a reload at one of two processes never reached the other. If it moved discovery, the other went on asking the former one, which closes; its requests and retries went to draining hosts. Settings differed as well.

Cause: the state is sent once, when the successor connects, and reloads later than that were nobody's to pass on.

Change: after a SIGHUP that changed something, a process sends what is in force to its predecessor and its successor, which pass it on to a third process. The message is queued behind the state, so that it also arrives if the successor does not serve yet. Earlier versions ignore it. A configuration that is too long for a message is read from the files again. conf_loaded and conf_invalid go on counting only a process's own SIGHUPs.

--- a/src/app/configuration_controller.cpp
+++ b/src/app/configuration_controller.cpp
@@ -15,6 +15,9 @@
 using config::Occasion;
 using config::ValueSource;
 
+// For the log: the other process of a hot restart has reloaded its configuration.
+constexpr const char* kOtherProcess = "other_process";
+
 std::optional<config::ConfigurationInForce> InForceAt(const operations::HandoverState& predecessor) {
   auto document = nlohmann::json::parse(predecessor.configuration, nullptr, /*allow_exceptions=*/false);
   const auto discovery_address = discovery::ParseAddress(predecessor.discovery_address);
@@ -111,6 +114,8 @@
   service_ = &service;
   service.ReportConfiguration(initial.resolved);
   if (initial.peers) service.ConfigurePeers(*initial.peers);
+  service.SetConfigurationChangeHandler(
+      [this](const std::optional<operations::ConfigurationChange>& change) { Adopt(change); });
   settings_reloader_.emplace(
       environment_, [this] { return service_->configuration_in_force(); },
       operations::SettingsReloader::Callbacks{[this](const config::ResolvedConfiguration& resolved) {
@@ -134,29 +139,73 @@
 void ConfigurationController::Reload() {
   const bool settings_changed = settings_reloader_->Reload();
   if (settings_changed) service_->OnConfigurationAccepted();
-  ReloadEdgeFile();
-  ReloadPeersFile();
+  const bool edge_changed = ReloadEdgeFile();
+  const bool peers_changed = ReloadPeersFile();
+  if (settings_changed || edge_changed || peers_changed) service_->ReplicateConfiguration();
 }
 
-void ConfigurationController::ReloadEdgeFile() {
+bool ConfigurationController::ReloadEdgeFile() {
   const std::string& path = operators_files_.edge;
-  if (path.empty()) return;
+  if (path.empty()) return false;
   try {
     service_->ReloadEdge(std::make_shared<const EdgeConfig>(LoadEdge(path)));
     log::Write(log::Level::kInfo, "edge_loaded", {{"file", path}});
+    return true;
   } catch (const std::exception& error) {
     LogRejection("edge_kept", "the file was not reloaded", error.what());
+    return false;
   }
 }
 
-void ConfigurationController::ReloadPeersFile() {
+bool ConfigurationController::ReloadPeersFile() {
   const std::string& path = operators_files_.peers;
-  if (path.empty()) return;
+  if (path.empty()) return false;
   try {
     service_->ConfigurePeers(membership::LoadPeers(path, name_));
     log::Write(log::Level::kInfo, "peers_loaded", {{"file", path}});
+    return true;
   } catch (const std::exception& error) {
     LogRejection("peers_kept", "the file was not reloaded", error.what());
+    return false;
+  }
+}
+
+void ConfigurationController::Adopt(const std::optional<operations::ConfigurationChange>& change) {
+  if (!change) {
+    settings_reloader_->Reload();
+    ReloadEdgeFile();
+    ReloadPeersFile();
+    return;
+  }
+  AdoptConfiguration(*change);
+  AdoptEdgeFile(change->edge_configuration);
+}
+
+void ConfigurationController::AdoptConfiguration(const operations::ConfigurationChange& change) {
+  const auto discovery_address = discovery::ParseAddress(change.discovery_address);
+  auto document = nlohmann::json::parse(change.configuration, nullptr, /*allow_exceptions=*/false);
+  const config::ConfigurationInForce in_force = service_->configuration_in_force();
+  if (document == *in_force.document && discovery_address == in_force.discovery_address) return;
+  try {
+    if (!discovery_address) throw ConfigurationError("discovery", "not an address and port");
+    config::ResolvedConfiguration adopted;
+    adopted.configuration = config::ParseConfiguration(std::move(document), environment_);
+    adopted.configuration.discovery_address = *discovery_address;
+    adopted.document_source = adopted.discovery_source = ValueSource::kInForce;
+    Apply(adopted, kOtherProcess);
+  } catch (const std::exception& error) {
+    LogRejection("configuration_kept", "the other process's configuration can't be used", error.what());
+  }
+}
+
+void ConfigurationController::AdoptEdgeFile(const std::string& text) {
+  const std::string& path = operators_files_.edge;
+  if (path.empty() || text.empty() || text == service_->edge_configuration()) return;
+  try {
+    service_->ReloadEdge(std::make_shared<const EdgeConfig>(ParseEdge(path, text)));
+    log::Write(log::Level::kInfo, "edge_loaded", {{"file", path}});
+  } catch (const std::exception& error) {
+    LogRejection("edge_kept", "the other process's file can't be used", error.what());
   }
 }
 
--- a/src/app/configuration_controller.hpp
+++ b/src/app/configuration_controller.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Loads the configuration and the operators' files at the start, and replaces them at SIGHUP.
+/// Loads the configuration and the operators' files at the start, and replaces them at SIGHUP and when the
+/// other process of a hot restart has replaced them.
 #ifndef MEADOWYARD_APP_CONFIGURATION_CONTROLLER_HPP_
 #define MEADOWYARD_APP_CONFIGURATION_CONTROLLER_HPP_
 
@@ -11,6 +12,7 @@
 #include "config/configuration_resolver.hpp"
 #include "edge/edge_config.hpp"
 #include "membership/peers_config.hpp"
+#include "operations/configuration_change.hpp"
 #include "operations/handover_state.hpp"
 #include "operations/settings_reloader.hpp"
 
@@ -39,7 +41,7 @@
   InitialConfiguration Load(config::Occasion occasion, const std::optional<operations::HandoverState>& state);
   /// Starts to serve reloads for `service`, which was created with `initial` and must outlive this object.
   void Attach(Service& service, const InitialConfiguration& initial);
-  /// Reads all files again (SIGHUP).
+  /// Reads all files again (SIGHUP), and sends what has changed to the other process of a hot restart.
   void Reload();
 
  private:
@@ -47,8 +49,13 @@
                                                  const std::string& text_in_force) const;
   std::optional<membership::PeersConfig> LoadPeersFile() const;
   void Apply(const config::ResolvedConfiguration& resolved, const char* occasion);
-  void ReloadEdgeFile();
-  void ReloadPeersFile();
+  /// The two below return whether the file is in force now.
+  bool ReloadEdgeFile();
+  bool ReloadPeersFile();
+  /// Applies what the other process has put in force; see HotRestartDelegate::OnConfigurationChanged.
+  void Adopt(const std::optional<operations::ConfigurationChange>& change);
+  void AdoptConfiguration(const operations::ConfigurationChange& change);
+  void AdoptEdgeFile(const std::string& text);
 
   const config::Environment environment_;
   const OperatorsFiles operators_files_;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -154,7 +154,7 @@
   state.hosts.revision = discovery_.revision().value_or(0);
   for (const auto& [id, host] : endpoints_) state.hosts.endpoints.push_back(host);
   state.learned = core_.policy().Snapshot();
-  if (edge_) state.edge_configuration = edge_->config().text;
+  state.edge_configuration = edge_configuration();
   state.pool_hosts_in_maintenance = PoolHostsInMaintenance();
   state.descriptors = CountDescriptors();
   state.clock_offset = core::ClockOffset();
@@ -303,6 +303,17 @@
   core_.metrics().OnConfigurationRejected(reason);
 }
 
+void Service::ReplicateConfiguration() {
+  if (!hot_restart_) return;
+  hot_restart_->ReplicateConfiguration({.configuration = configuration_document_->dump(),
+                                        .discovery_address = discovery::FormatAddress(discovery_.address()),
+                                        .edge_configuration = edge_configuration()});
+}
+
+void Service::OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) {
+  if (on_configuration_changed_) on_configuration_changed_(change);
+}
+
 void Service::RequireCompatible(const config::Configuration& config, const EdgeConfig& edge) {
   ResourcesFor(config, &edge);
   EdgeService::AddTunnelClass(config.settings, edge);
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -30,6 +30,7 @@
 #include "fronts/http/client_server.hpp"
 #include "operations/admin_delegate.hpp"
 #include "operations/admin_server.hpp"
+#include "operations/configuration_change.hpp"
 #include "operations/handover_state.hpp"
 #include "operations/hot_restart_coordinator.hpp"
 #include "operations/hot_restart_delegate.hpp"
@@ -79,6 +80,8 @@
   config::ConfigurationInForce configuration_in_force() const {
     return {configuration_document_, discovery_.address()};
   }
+  /// Text of the operators' file for tunnels in effect; empty if there is none.
+  std::string edge_configuration() const { return edge_config_ ? edge_config_->text : ""; }
   /// Shows operators which configuration is in effect.
   void ReportConfiguration(const config::ResolvedConfiguration& resolved);
   /// Counts a configuration that was accepted at SIGHUP.
@@ -86,6 +89,15 @@
   /// Counts a configuration that was rejected at SIGHUP; `reason` is one line.
   void OnConfigurationRejected(const std::string& reason);
 
+  /// See HotRestartDelegate::OnConfigurationChanged.
+  using ConfigurationChangeHandler =
+      std::function<void(const std::optional<operations::ConfigurationChange>&)>;
+  void SetConfigurationChangeHandler(ConfigurationChangeHandler handler) {
+    on_configuration_changed_ = std::move(handler);
+  }
+  /// Sends the configuration in effect to the other processes of a hot restart.
+  void ReplicateConfiguration();
+
   /// The phases of a graceful shutdown, in ms from its start. With deadlines of 3 s or more, SIGKILL comes at
   /// 3,700 ms or later.
   struct StopTimes {
@@ -129,6 +141,7 @@
   void AdoptTunnel(std::string_view state, operations::Descriptor client,
                    operations::Descriptor host) override;
   void OnMaintenanceChanged(const operations::MaintenanceChange& change) override;
+  void OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) override;
 
   /// Shares the ids of open requests by `request_ids` until no other process of this gateway is left; null if
   /// sharing them failed.
@@ -156,8 +169,9 @@
   std::shared_ptr<const nlohmann::json> configuration_document_;  // of the configuration in force
   Settings settings_;                                             // of the configuration in force
   Millis connect_timeout_;                                        // of the configuration in force
-  std::shared_ptr<const EdgeConfig> edge_config_;                 // null: no tunnels
-  std::size_t predecessor_descriptors_ = 0;  // file descriptors that the predecessor holds
+  ConfigurationChangeHandler on_configuration_changed_;
+  std::shared_ptr<const EdgeConfig> edge_config_;  // null: no tunnels
+  std::size_t predecessor_descriptors_ = 0;        // file descriptors that the predecessor holds
   // From the peers file. Declared before core_, which is constructed with EffectiveSettings().
   int subset_size_ = 0;  // hosts that each gateway uses; 0 without peers
   ZoneRoutingSettings zone_routing_;
--- /dev/null
+++ b/src/operations/configuration_change.hpp
@@ -0,0 +1,26 @@
+/// @file
+/// What a reload has put in force at one process of a hot restart, as sent to the other process.
+#ifndef MEADOWYARD_OPERATIONS_CONFIGURATION_CHANGE_HPP_
+#define MEADOWYARD_OPERATIONS_CONFIGURATION_CHANGE_HPP_
+
+#include <optional>
+#include <string>
+
+namespace meadowyard::operations {
+
+/// The configuration and the operators' files in force.
+struct ConfigurationChange {
+  std::string configuration;             ///< JSON text of the platform's file, without the host list.
+  std::string discovery_address;         ///< "ADDRESS:PORT"
+  std::string edge_configuration = {};   ///< Text of the file for tunnels; empty if there is none.
+  std::string peers_configuration = {};  ///< Text of the peers file; empty if there is none.
+};
+
+/// Formats as JSON text. Other versions of the program read it, so the field names must never change.
+std::string FormatConfigurationChange(const ConfigurationChange& change);
+/// std::nullopt if the text is malformed or lacks "file" or "discovery".
+[[nodiscard]] std::optional<ConfigurationChange> ParseConfigurationChange(const std::string& text);
+
+}  // namespace meadowyard::operations
+
+#endif  // MEADOWYARD_OPERATIONS_CONFIGURATION_CHANGE_HPP_
--- a/src/operations/handover_channel.hpp
+++ b/src/operations/handover_channel.hpp
@@ -20,8 +20,7 @@
 /// The kind of a message. The values are the letters on the socket.
 enum class HandoverMessageKind : char {
   /// To the successor: a part of the state; the first part carries the clients' listening socket and the
-  /// table
-  /// of open requests' ids.
+  /// table of open requests' ids.
   kState = 'S',
   /// To the successor: a listening socket for tunnels; the text names the listener.
   kTunnelListener = 'L',
@@ -41,6 +40,9 @@
   kMaintenanceStarted = 'O',
   /// In both directions: an operator has ended the maintenance of the host whose id is the text.
   kMaintenanceEnded = 'B',
+  /// In both directions: a reload has changed the configuration; for the text see FormatConfigurationChange.
+  /// An empty text: the change is too long for a message, and the receiver reads its files again.
+  kConfigurationChanged = 'F',
 };
 
 /// Longest text of a message, in bytes; a longer state is split into messages of this size. A tunnel's text
--- a/src/operations/hot_restart_coordinator.cpp
+++ b/src/operations/hot_restart_coordinator.cpp
@@ -24,6 +24,14 @@
   log::Write(log::Level::kWarn, "maintenance_not_replicated", {{"endpoint", change.host_id}});
 }
 
+// `text` is that of HandoverMessageKind::kConfigurationChanged.
+void ReplicateConfigurationText(HandoverChannel& channel, const std::string& text) {
+  const bool fits = text.size() <= kMaxMessageTextBytes;
+  const std::string_view sent_text = fits ? std::string_view(text) : std::string_view();
+  if (channel.Enqueue({.kind = Kind::kConfigurationChanged, .text = sent_text})) return;
+  log::Write(log::Level::kWarn, "configuration_not_replicated");
+}
+
 }  // namespace
 
 HotRestartCoordinator::HotRestartCoordinator(boost::asio::io_context& io, const std::string& path,
@@ -67,14 +75,18 @@
                                    std::move(message.second_descriptor));
     case Kind::kDescriptorsHeld:
       return delegate_.OnPredecessorDescriptors(ParseDescriptorCount(message.text));
-    case Kind::kMaintenanceStarted:
-    case Kind::kMaintenanceEnded:
-      if (const auto change = ToMaintenanceChange(message)) {
-        delegate_.OnMaintenanceChanged(*change);
-        if (successor_) Replicate(*successor_, *change);
-      }
-      return;
-    default: return;  // unknown kind, sent by a later version
+    default: return OnReplicatedChange(message, successor_.get());
+  }
+}
+
+void HotRestartCoordinator::OnReplicatedChange(const IncomingMessage& message, HandoverChannel* further) {
+  if (const auto change = ToMaintenanceChange(message)) {
+    delegate_.OnMaintenanceChanged(*change);
+    if (further != nullptr) Replicate(*further, *change);
+  }
+  if (message.kind == Kind::kConfigurationChanged) {
+    delegate_.OnConfigurationChanged(ParseConfigurationChange(message.text));
+    if (further != nullptr) ReplicateConfigurationText(*further, message.text);
   }
 }
 
@@ -144,10 +156,7 @@
 
 void HotRestartCoordinator::OnSuccessorMessage(const IncomingMessage& message) {
   if (message.kind == Kind::kSuccessorReady) return OnSuccessorReady();
-  const auto change = ToMaintenanceChange(message);
-  if (!change) return;  // unknown kind, sent by a later version
-  delegate_.OnMaintenanceChanged(*change);
-  if (predecessor_) Replicate(*predecessor_, *change);
+  OnReplicatedChange(message, predecessor_.get());
 }
 
 void HotRestartCoordinator::OnSuccessorReady() {
@@ -206,4 +215,10 @@
   if (successor_) Replicate(*successor_, change);
 }
 
+void HotRestartCoordinator::ReplicateConfiguration(const ConfigurationChange& change) {
+  const std::string text = FormatConfigurationChange(change);
+  if (predecessor_) ReplicateConfigurationText(*predecessor_, text);
+  if (successor_) ReplicateConfigurationText(*successor_, text);
+}
+
 }  // namespace meadowyard::operations
--- a/src/operations/hot_restart_coordinator.hpp
+++ b/src/operations/hot_restart_coordinator.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 
 #include "meadowyard/policy.hpp"
+#include "operations/configuration_change.hpp"
 #include "operations/descriptor.hpp"
 #include "operations/handover_channel.hpp"
 #include "operations/handover_messages.hpp"
@@ -30,7 +31,8 @@
 ///  3. If the successor exits before this process does, this process serves again, unless it is shutting
 ///  down.
 ///
-/// While both processes run, each replicates changes to the maintenance of hosts to the other.
+/// While both processes run, each replicates changes to the maintenance of hosts and reloads of the
+/// configuration to the other.
 class HotRestartCoordinator {
  public:
   /// `path` is the socket to which a successor connects (see config::HandoverSocketPath); if it is empty, no
@@ -57,9 +59,14 @@
 
   /// Sends a change that an operator made in this process to the predecessor and the successor.
   void ReplicateMaintenance(const MaintenanceChange& change);
+  /// Sends what a reload has put in force in this process to the predecessor and the successor.
+  void ReplicateConfiguration(const ConfigurationChange& change);
 
  private:
   void OnPredecessorMessage(IncomingMessage message);
+  /// Handles a change that the other process made, and passes it on to `further`, the third process of two
+  /// hot restarts in a row, if it is not null. Messages of other kinds are ignored.
+  void OnReplicatedChange(const IncomingMessage& message, HandoverChannel* further);
   void OnPredecessorClosed();
   void OnSuccessorConnected(Descriptor connection);
   [[nodiscard]] bool EnqueueState(HandoverChannel& channel);
--- a/src/operations/hot_restart_delegate.hpp
+++ b/src/operations/hot_restart_delegate.hpp
@@ -4,10 +4,12 @@
 #define MEADOWYARD_OPERATIONS_HOT_RESTART_DELEGATE_HPP_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "operations/configuration_change.hpp"
 #include "operations/descriptor.hpp"
 #include "operations/handover_messages.hpp"
 #include "operations/maintenance_change.hpp"
@@ -69,6 +71,9 @@
 
   /// An operator has started or ended the maintenance of a host in the other process.
   virtual void OnMaintenanceChanged(const MaintenanceChange& change) = 0;
+  /// A reload has changed the configuration in the other process. Without `change`: the change is too long
+  /// for a message, or of a later version, and the files have to be read again.
+  virtual void OnConfigurationChanged(const std::optional<ConfigurationChange>& change) = 0;
 };
 
 }  // namespace meadowyard::operations
--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -244,6 +244,42 @@
   EXPECT_EQ(harness.Status(successor)["discovery_from"], "file");
 }
 
+// ---- Reloads while two processes run --------------------------------------------------------------
+
+// Guards against a reload at one of two processes that the other never learns of: it would go on asking a
+// discovery that is gone, and use the former settings.
+TEST(ReloadDuringHotRestart, ReachesTheOtherProcess) {
+  for (const bool at_successor : {false, true}) {
+    ConfigurationHarness harness;
+    auto predecessor = harness.Start();
+    auto successor = harness.Start();
+    ASSERT_TRUE(harness.AwaitWatches(harness.first, 2));
+    harness.NameDiscovery(harness.second);
+    const auto& reloaded = at_successor ? successor : predecessor;
+    const auto& other = at_successor ? predecessor : successor;
+    harness.Reload(reloaded);
+    ASSERT_TRUE(harness.AwaitWatches(harness.second, 2));
+    EXPECT_TRUE(harness.Follows(other, harness.second));
+    EXPECT_EQ(harness.Metrics(other)["conf_loaded"], 0) << "counts what was read at SIGHUP";
+    EXPECT_EQ(harness.Metrics(other)["conf_invalid"], 0);
+  }
+}
+
+// The same across three processes, with a file that has become unusable since.
+TEST(ReloadDuringHotRestart, ReachesTheThirdProcess) {
+  ConfigurationHarness harness;
+  auto oldest = harness.Start();
+  auto middle = harness.Start();
+  ASSERT_TRUE(harness.AwaitWatches(harness.first, 2));
+  auto newest = harness.Start();
+  ASSERT_TRUE(harness.AwaitWatches(harness.first, 3));
+  harness.NameDiscovery(harness.second);
+  harness.Reload(oldest);
+  harness.WriteConfig("{");
+  ASSERT_TRUE(harness.AwaitWatches(harness.second, 3));
+  EXPECT_TRUE(harness.Follows(newest, harness.second));
+}
+
 // ---- Reloads of one process ------------------------------------------------------------------------
 
 // Guards against files that are rejected for what another source has: where only NODE_DISCOVERY names
--- a/tests/operations/handover_format_test.cpp
+++ b/tests/operations/handover_format_test.cpp
@@ -485,6 +485,11 @@
   void OnMaintenanceChanged(const operations::MaintenanceChange& change) override {
     events.push_back((change.in_maintenance ? "in maintenance " : "maintenance ended ") + change.host_id);
   }
+  void OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) override {
+    events.push_back(change ? "configuration " + change->configuration + " " + change->discovery_address +
+                                  " " + change->edge_configuration + " " + change->peers_configuration
+                            : "read the configuration again");
+  }
   bool WaitForEvents(boost::asio::io_context& io, std::size_t count) const {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(30);
     while (events.size() < count && std::chrono::steady_clock::now() < deadline) {
@@ -531,6 +536,9 @@
   EXPECT_EQ(::send(channel, bytes.data(), bytes.size(), 0), static_cast<ssize_t>(bytes.size()));
 }
 
+constexpr const char* kConfigurationPacket =
+    R"(F{"discovery":"127.0.0.1:1","edge":"e","file":"{}","peers":"p"})";
+
 // Guards the messages sent to a successor of another version, and their order, from its connection on.
 TEST(HandoverFormat, SendsTheSuccessorItsMessagesInOrder) {
   boost::asio::io_context io;
@@ -568,6 +576,13 @@
   ExpectPacket(channel.get(), "T{\"a\":1}", 2);
   ExpectPacket(channel.get(), "Oweb-1", 0);
   ExpectPacket(channel.get(), "Bweb-1", 0);
+  coordinator.ReplicateConfiguration({.configuration = "{}",
+                                      .discovery_address = "127.0.0.1:1",
+                                      .edge_configuration = "e",
+                                      .peers_configuration = "p"});
+  coordinator.ReplicateConfiguration({.configuration = full_part, .discovery_address = "127.0.0.1:1"});
+  ExpectPacket(channel.get(), kConfigurationPacket, 0);
+  ExpectPacket(channel.get(), "F", 0);
   SendPacket(channel.get(), "Oweb-2");
   SendPacket(channel.get(), "Bweb-2");
   ASSERT_TRUE(delegate.WaitForEvents(io, 3));
@@ -588,7 +603,8 @@
   coordinator.ReplicateMaintenance({.host_id = "web-1", .in_maintenance = false});
   ExpectPacket(channel.local_end.get(), "Oweb-1", 0);
   ExpectPacket(channel.local_end.get(), "Bweb-1", 0);
-  for (const char* const packet : {"D321", "Oweb-2", "Bweb-2", "Zunknown kind", "Hno-space", "D0"}) {
+  for (const char* const packet :
+       {"D321", "Oweb-2", "Bweb-2", "Zunknown kind", "Hno-space", kConfigurationPacket, "F", "F{}", "D0"}) {
     SendPacket(channel.local_end.get(), packet);
   }
   const SocketPair passed;
@@ -608,15 +624,14 @@
     ASSERT_TRUE(operations::SendMessage(channel.local_end.get(), message));
   }
   channel.local_end = operations::Descriptor();
-  ASSERT_TRUE(delegate.WaitForEvents(io, 8));
-  const std::vector<std::string> expected = {"predecessor descriptors 321",
-                                             "in maintenance web-2",
-                                             "maintenance ended web-2",
-                                             "predecessor descriptors 0",
-                                             "client GET / +1",
-                                             "host web 1 at 10.0.0.1:80 +1",
-                                             "tunnel {} +2",
-                                             "predecessor descriptors 0"};
+  ASSERT_TRUE(delegate.WaitForEvents(io, 11));
+  const std::vector<std::string> expected = {
+      "predecessor descriptors 321",  "in maintenance web-2",
+      "maintenance ended web-2",      "configuration {} 127.0.0.1:1 e p",
+      "read the configuration again", "read the configuration again",
+      "predecessor descriptors 0",    "client GET / +1",
+      "host web 1 at 10.0.0.1:80 +1", "tunnel {} +2",
+      "predecessor descriptors 0"};
   EXPECT_EQ(delegate.events, expected);
 }
 
--- a/tests/operations/hot_restart_test.cpp
+++ b/tests/operations/hot_restart_test.cpp
@@ -15,6 +15,7 @@
 #include "operations/successor_listener.hpp"
 #include "operations/unix_socket.hpp"
 #include "peers.hpp"
+#include "service.hpp"
 
 namespace meadowyard::testing {
 namespace {
@@ -43,6 +44,9 @@
   void OnMaintenanceChanged(const operations::MaintenanceChange& change) override {
     maintenance.push_back((change.in_maintenance ? "-" : "+") + change.host_id);
   }
+  void OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) override {
+    configuration_changes.push_back(change);
+  }
 
   struct AdoptedClient {
     std::string unread;
@@ -59,6 +63,7 @@
   std::vector<AdoptedClient> clients;
   std::vector<std::string> hosts;
   std::vector<std::string> maintenance;
+  std::vector<std::optional<operations::ConfigurationChange>> configuration_changes;
 };
 
 struct TemporaryFolder {
@@ -233,6 +238,46 @@
   EXPECT_EQ(requests, 3);
 }
 
+// A predecessor whose configuration is reloaded right after it has passed its state on.
+struct ReloadedGateway : FakeGateway {
+  std::string SerializeState() override {
+    if (on_state_sent) asio::post(*io, on_state_sent);
+    return FakeGateway::SerializeState();
+  }
+  asio::io_context* io = nullptr;
+  std::function<void()> on_state_sent;
+};
+
+// Guards against a reload that the successor misses, because it comes between the predecessor's state and the
+// time at which the successor serves. The successor serves once the new discovery has given it hosts.
+TEST(HotRestart, ReloadBetweenStateAndReadinessReachesTheSuccessor) {
+  ProgramHarness harness;
+  Peer new_discovery(harness.io);
+  new_discovery.serve = [&](const Peer::ReceivedRequest& call) {
+    if (call.http.target() == "/discovery/hosts") call.Answer(200, harness.config["known"].dump());
+  };
+  harness.config.erase("known");
+  harness.WriteConfig(harness.config.dump());
+  ReloadedGateway predecessor;
+  operations::HandoverState state;
+  state.configuration = harness.config.dump();
+  state.discovery_address = ToText(harness.discovery.address());
+  predecessor.state = operations::SerializeHandoverState(state);
+  operations::HotRestartCoordinator coordinator(
+      harness.io, meadowyard::config::HandoverSocketPath(harness.directory, ToText(harness.listen_address)),
+      operations::Descriptor(), predecessor);
+  coordinator.StartServing();
+  predecessor.io = &harness.io;
+  predecessor.on_state_sent = [&] {
+    coordinator.ReplicateConfiguration(
+        {.configuration = state.configuration, .discovery_address = ToText(new_discovery.address())});
+  };
+  harness.config["known"] = List(1, true, {Member("h0", harness.hosts[0]->address())});
+  const auto successor = harness.Start();
+  EXPECT_EQ(harness.Metrics(successor)["cluster_size"], 1);
+  EXPECT_EQ(harness.Metrics(successor)["configuration"]["discovery"], ToText(new_discovery.address()));
+}
+
 // Guards against state lost in a hot restart: hosts in maintenance, ejected hosts, hosts in slow start, and
 // the latencies and rates measured so far.
 TEST(HandoverState, PreservesTheLearnedState) {
