Limit how much of an invalid discovery address an error shows

A rejected file's reason is logged and shown in /status/metrics: a value of any length would stand in both. Errors show 100 bytes of it. Covered by ConfigurationResolver.KeepsAllValuesIfTheFileCannotBeUsed (one line); the length has no test.

--- a/src/config/configuration_resolver.cpp
+++ b/src/config/configuration_resolver.cpp
@@ -1,5 +1,6 @@
 #include "config/configuration_resolver.hpp"
 
+#include <cstddef>
 #include <exception>
 #include <fstream>
 #include <iterator>
@@ -12,6 +13,7 @@
 using nlohmann::json;
 
 constexpr const char* kDiscoveryField = "discovery";
+constexpr std::size_t kMaxShownLength = 100;  // bytes of an invalid value that an error shows
 
 struct DiscoveryChoice {
   tcp::endpoint address;
@@ -34,7 +36,10 @@
   const json& value = document[kDiscoveryField];
   const auto address =
       value.is_string() ? discovery::ParseAddress(value.get<std::string>()) : std::optional<tcp::endpoint>();
-  if (!address) throw ConfigurationError("discovery: " + value.dump() + " is not an address and port");
+  if (!address) {
+    const std::string shown = value.dump().substr(0, kMaxShownLength);
+    throw ConfigurationError("discovery: " + shown + " is not an address and port");
+  }
   return {*address, ValueSource::kFile};
 }
 
