Inherit the peers file at a hot restart, and leave the peer address to the successor

A SIGHUP at the old process after the new one's yes opened the old one's membership again: it took the peer address back, and with it the gateway's place in the leases.

Cause: the state had no peers file, so that its only source was the file itself; ClusterService::SetPeers always opened the protocol.

Change: the state and the message for reloads carry the text of the peers file ("peers"; left out without one). A closed ClusterService keeps a new file for Open, and one that is shutting down opens nothing.

Tests: PeersFileAtHotRestart.*; both failed on: the successor did not start, and /status/peers of the old process answered 200 after its reload.

--- a/src/app/cluster_service.cpp
+++ b/src/app/cluster_service.cpp
@@ -13,12 +13,13 @@
 
 void ClusterService::SetPeers(membership::PeersConfig peers) {
   peers_ = std::move(peers);
-  Open();
+  if (!closed_) Open();
 }
 
 void ClusterService::Open() {
-  if (!peers_) return;
-  Close();  // first, so that the peer address can be bound again
+  if (!peers_ || shutting_down_) return;
+  closed_ = false;
+  StopProtocol();  // first, so that the peer address can be bound again
   if (peers_->shares_endpoint_list) StartEndpointListLeader();
   if (peers_->zone_routing.enabled) StartZoneStateCoordinator();
   Delegate& delegate = *this;  // Delegate is a private base: only a member can convert to it
@@ -62,6 +63,11 @@
 }
 
 void ClusterService::Close() {
+  closed_ = true;
+  StopProtocol();
+}
+
+void ClusterService::StopProtocol() {
   protocol_.reset();
   zone_state_coordinator_.reset();
   if (!endpoint_list_leader_) return;
@@ -123,6 +129,7 @@
 }
 
 void ClusterService::PrepareShutdown() {
+  shutting_down_ = true;
   if (endpoint_list_leader_) endpoint_list_leader_->Stop(core::Now());
   if (zone_state_coordinator_) zone_state_coordinator_->Stop();
 }
--- a/src/app/cluster_service.hpp
+++ b/src/app/cluster_service.hpp
@@ -37,12 +37,13 @@
   /// There are no peers until SetPeers is called.
   ClusterService(boost::asio::io_context& io, discovery::DiscoveryClient& discovery, Handlers handlers);
 
-  /// Applies a peers file and restarts the protocol with it.
+  /// Applies a peers file and restarts the protocol with it. After Close and PrepareShutdown the file only
+  /// takes effect with Open.
   void SetPeers(membership::PeersConfig peers);
   /// Stops the protocol, because the successor of a hot restart uses the peer address now. A gateway without
   /// the protocol watches discovery itself.
   void Close();
-  /// Starts the protocol, or restarts it. Does nothing without peers.
+  /// Starts the protocol, or restarts it. Does nothing without peers, or after PrepareShutdown.
   void Open();
 
   /// Starts to watch discovery, unless a peer holds the endpoint list lease and watches it for all gateways.
@@ -68,6 +69,7 @@
                              const coordination::CoordinationMessage& message) override;
   void OnHeartbeatSent(double jitter) override;
 
+  void StopProtocol();
   void StartEndpointListLeader();
   void StartZoneStateCoordinator();
   /// Sends a message of a lease-held role. Does nothing while the protocol is stopped.
@@ -77,6 +79,8 @@
   discovery::DiscoveryClient& discovery_;
   const Handlers handlers_;
   std::optional<membership::PeersConfig> peers_;
+  bool closed_ = false;         // the successor uses the peer address
+  bool shutting_down_ = false;  // the lease-held roles were given up for good
   std::optional<coordination::EndpointListLeader> endpoint_list_leader_;
   std::optional<coordination::ZoneStateCoordinator> zone_state_coordinator_;
   std::optional<membership::MembershipProtocol> protocol_;
--- a/src/app/configuration_controller.cpp
+++ b/src/app/configuration_controller.cpp
@@ -90,7 +90,7 @@
   LogInForce(initial.resolved, config::ToString(occasion));
   if (occasion == Occasion::kStart) WarnIfSourcesDiffer(environment_, initial.resolved.configuration);
   name_ = initial.resolved.configuration.name.value_or("");
-  initial.peers = LoadPeersFile();
+  initial.peers = LoadPeersFile(state ? state->peers_configuration : "");
   return initial;
 }
 
@@ -105,9 +105,13 @@
       });
 }
 
-std::optional<membership::PeersConfig> ConfigurationController::LoadPeersFile() const {
+std::optional<membership::PeersConfig> ConfigurationController::LoadPeersFile(
+    const std::string& text_in_force) const {
   if (operators_files_.peers.empty()) return std::nullopt;
-  return membership::LoadPeers(operators_files_.peers, name_);
+  return ParseFileOrTextInForce(operators_files_.peers, text_in_force, "peers_kept",
+                                [this](const std::string& text) {
+                                  return membership::ParsePeers(operators_files_.peers, text, name_);
+                                });
 }
 
 void ConfigurationController::Attach(Service& service, const InitialConfiguration& initial) {
@@ -179,6 +183,7 @@
   }
   AdoptConfiguration(*change);
   AdoptEdgeFile(change->edge_configuration);
+  AdoptPeersFile(change->peers_configuration);
 }
 
 void ConfigurationController::AdoptConfiguration(const operations::ConfigurationChange& change) {
@@ -209,4 +214,15 @@
   }
 }
 
+void ConfigurationController::AdoptPeersFile(const std::string& text) {
+  const std::string& path = operators_files_.peers;
+  if (path.empty() || text.empty() || text == service_->peers_configuration()) return;
+  try {
+    service_->ConfigurePeers(membership::ParsePeers(path, text, name_));
+    log::Write(log::Level::kInfo, "peers_loaded", {{"file", path}});
+  } catch (const std::exception& error) {
+    LogRejection("peers_kept", "the other process's file can't be used", error.what());
+  }
+}
+
 }  // namespace meadowyard::app
--- a/src/app/configuration_controller.hpp
+++ b/src/app/configuration_controller.hpp
@@ -47,7 +47,7 @@
  private:
   std::shared_ptr<const EdgeConfig> LoadEdgeFile(const config::Configuration& config,
                                                  const std::string& text_in_force) const;
-  std::optional<membership::PeersConfig> LoadPeersFile() const;
+  std::optional<membership::PeersConfig> LoadPeersFile(const std::string& text_in_force) const;
   void Apply(const config::ResolvedConfiguration& resolved, const char* occasion);
   /// The two below return whether the file is in force now.
   bool ReloadEdgeFile();
@@ -56,6 +56,7 @@
   void Adopt(const std::optional<operations::ConfigurationChange>& change);
   void AdoptConfiguration(const operations::ConfigurationChange& change);
   void AdoptEdgeFile(const std::string& text);
+  void AdoptPeersFile(const std::string& text);
 
   const config::Environment environment_;
   const OperatorsFiles operators_files_;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -155,6 +155,7 @@
   for (const auto& [id, host] : endpoints_) state.hosts.endpoints.push_back(host);
   state.learned = core_.policy().Snapshot();
   state.edge_configuration = edge_configuration();
+  state.peers_configuration = peers_configuration_;
   state.pool_hosts_in_maintenance = PoolHostsInMaintenance();
   state.descriptors = CountDescriptors();
   state.clock_offset = core::ClockOffset();
@@ -162,6 +163,7 @@
 }
 
 void Service::ConfigurePeers(membership::PeersConfig peers) {
+  peers_configuration_ = peers.text;
   subset_size_ = peers.subset_size;
   zone_routing_ = peers.zone_routing;
   peers_.SetPeers(std::move(peers));
@@ -307,7 +309,8 @@
   if (!hot_restart_) return;
   hot_restart_->ReplicateConfiguration({.configuration = configuration_document_->dump(),
                                         .discovery_address = discovery::FormatAddress(discovery_.address()),
-                                        .edge_configuration = edge_configuration()});
+                                        .edge_configuration = edge_configuration(),
+                                        .peers_configuration = peers_configuration_});
 }
 
 void Service::OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -82,6 +82,8 @@
   }
   /// Text of the operators' file for tunnels in effect; empty if there is none.
   std::string edge_configuration() const { return edge_config_ ? edge_config_->text : ""; }
+  /// Text of the peers file in effect; empty if there is none.
+  const std::string& peers_configuration() const { return peers_configuration_; }
   /// Shows operators which configuration is in effect.
   void ReportConfiguration(const config::ResolvedConfiguration& resolved);
   /// Counts a configuration that was accepted at SIGHUP.
@@ -169,6 +171,7 @@
   std::shared_ptr<const nlohmann::json> configuration_document_;  // of the configuration in force
   Settings settings_;                                             // of the configuration in force
   Millis connect_timeout_;                                        // of the configuration in force
+  std::string peers_configuration_;                               // text of the peers file; empty: no peers
   ConfigurationChangeHandler on_configuration_changed_;
   std::shared_ptr<const EdgeConfig> edge_config_;  // null: no tunnels
   std::size_t predecessor_descriptors_ = 0;        // file descriptors that the predecessor holds
--- a/src/membership/peers_config.cpp
+++ b/src/membership/peers_config.cpp
@@ -112,6 +112,7 @@
   TableReader file(root, path, "");
   PeersConfig config;
   config.path = path;
+  config.text = text;
   ReadPeerList(file, config.peers);
   auto peers = file.ReadTable("peers");
   if (!peers) file.Fail("peers", "missing");
--- a/src/membership/peers_config.hpp
+++ b/src/membership/peers_config.hpp
@@ -16,8 +16,10 @@
 
 namespace meadowyard::membership {
 
+/// A validated peers file.
 struct PeersConfig {
   std::string path;                       ///< Path of the peers file.
+  std::string text;                       ///< The file as read.
   std::vector<PeerAddress> peers;         ///< All gateways in file order, including this one.
   std::size_t self = 0;                   ///< Index of this gateway in `peers`.
   boost::asio::ip::udp::endpoint listen;  ///< Local address for datagrams.
--- a/src/operations/handover_state.cpp
+++ b/src/operations/handover_state.cpp
@@ -79,6 +79,7 @@
                  {"learned", state.learned},
                  {"descriptors", state.descriptors},
                  {"edge", state.edge_configuration}};
+  if (!state.peers_configuration.empty()) stored["peers"] = state.peers_configuration;
   if (!state.pool_hosts_in_maintenance.empty())
     stored["pool_hosts_in_maintenance"] = state.pool_hosts_in_maintenance;
   if (state.clock_offset) stored["clock_offset"] = *state.clock_offset;
@@ -98,6 +99,7 @@
     state.learned = stored.at("learned").get<LearnedState>();
     state.descriptors = stored.at("descriptors").get<std::size_t>();
     state.edge_configuration = stored.value("edge", "");
+    state.peers_configuration = stored.value("peers", "");
     state.pool_hosts_in_maintenance = stored.value("pool_hosts_in_maintenance", std::vector<std::string>());
     if (stored.contains("clock_offset")) state.clock_offset = stored.at("clock_offset").get<double>();
     return state;
--- a/src/operations/handover_state.hpp
+++ b/src/operations/handover_state.hpp
@@ -21,8 +21,9 @@
   discovery::EndpointList hosts;  ///< As received from service discovery.
   bool revision_known = false;    ///< Whether `hosts.revision` is valid.
   LearnedState learned;
-  std::size_t descriptors = 0;     ///< The number of file descriptors that the process has open.
-  std::string edge_configuration;  ///< Text of the operators' file in effect; empty if there is none.
+  std::size_t descriptors = 0;      ///< The number of file descriptors that the process has open.
+  std::string edge_configuration;   ///< Text of the operators' file in effect; empty if there is none.
+  std::string peers_configuration;  ///< Text of the peers file in effect; empty: none, or an earlier version.
   /// Hosts in maintenance that the operators' file lists; `learned` has those from service discovery.
   std::vector<std::string> pool_hosts_in_maintenance;
   /// core::ClockOffset, to which all times of the state refer; earlier versions don't send it.
@@ -31,8 +32,9 @@
 
 /// Formats the state as JSON text.
 std::string SerializeHandoverState(const HandoverState& state);
-/// std::nullopt if the text is malformed or lacks a field; only "edge", "pool_hosts_in_maintenance" and
-/// "clock_offset" may be missing. Unknown fields, as sent by later versions, are ignored.
+/// std::nullopt if the text is malformed or lacks a field; only "edge", "peers",
+/// "pool_hosts_in_maintenance" and "clock_offset" may be missing. Unknown fields, as sent by later versions,
+/// are ignored.
 [[nodiscard]] std::optional<HandoverState> ParseHandoverState(const std::string& text);
 
 }  // namespace meadowyard::operations
--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -310,7 +310,40 @@
       << instance.process->Errors();
 }
 
-// ---- The tunnels' file -------------------------------------------------------------------------------
+// ---- The peers file --------------------------------------------------------------------------------
+
+struct PeersHarness : ConfigurationHarness {
+  PeersHarness() {
+    setenv("MEADOWYARD_PEERS", path.c_str(), 1);
+    WritePeers("");
+  }
+  ~PeersHarness() {
+    unsetenv("MEADOWYARD_PEERS");
+    std::remove(path.c_str());
+  }
+  void WritePeers(const std::string& extra) const {
+    Write(path, "[peers]\nname = \"a\"\n" + extra +
+                    "[[peer]]\nname = \"a\"\naddress = \"127.0.0.1:" + std::to_string(port) + "\"\n");
+  }
+  nlohmann::json PeersStatus(const Instance& instance) {
+    std::string body;
+    EXPECT_EQ(CallAdmin(instance, "GET /status/peers", &body), 200u);
+    return nlohmann::json::parse(body, nullptr, false);
+  }
+  const unsigned short port = FreePortNumber();
+  const std::string path = directory + "/peers.toml";
+};
+
+// Guards against a new version that ends at its start because the peers file can't be used, although the
+// predecessor goes on with the one in force.
+TEST(PeersFileAtHotRestart, StaysInForceIfItCannotBeUsed) {
+  PeersHarness harness;
+  auto predecessor = harness.Start();
+  Write(harness.path, "[peers]\nname = \"a");
+  const auto successor = harness.Start();
+  EXPECT_EQ(harness.PeersStatus(successor)["listed"], 1);
+  EXPECT_NE(successor.process->Errors().find("peers_kept"), std::string::npos);
+}
 
 // Guards against a new version that ends at its start because its configuration has a class that the tunnels'
 // file in force has too: a reload rejects that configuration, and so must a hot restart.
@@ -332,5 +365,21 @@
   EXPECT_FALSE(harness.Metrics(successor)["transactions"].contains("tunnel")) << successor.process->Errors();
 }
 
+// Guards against a predecessor that takes the peer address, and with it the gateway's place among its peers,
+// back from its successor when it reloads the peers file.
+TEST(PeersFileAtHotRestart, LeavesThePeerAddressToTheSuccessor) {
+  PeersHarness harness;
+  auto predecessor = harness.Start();
+  auto successor = harness.Start();
+  EXPECT_TRUE(
+      RunUntil(harness.io, [&] { return harness.CallAdmin(predecessor, "GET /status/peers") == 404; }));
+  harness.WritePeers("beat_ms = 100\n");
+  harness.Reload(predecessor);
+  EXPECT_TRUE(RunUntil(
+      harness.io, [&] { return successor.process->Errors().find("peers_loaded") != std::string::npos; }));
+  EXPECT_EQ(harness.CallAdmin(predecessor, "GET /status/peers"), 404u);
+  EXPECT_EQ(harness.CallAdmin(successor, "GET /status/peers"), 200u);
+}
+
 }  // namespace
 }  // namespace meadowyard::testing
