--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -343,6 +343,27 @@
   EXPECT_EQ(harness.Metrics(second_successor)["transactions"]["view"]["answered"], 1);
 }
 
+// Guards callers against two hot restarts in a row: under a steady load, neither may cost a request.
+TEST(Program, TwoHotRestartsInARowLoseNoRequest) {
+  constexpr int kRequests = 150;
+  constexpr int kFirstRestart = 40, kFirstStop = 50, kSecondRestart = 60, kSecondStop = 70;  // request counts
+  constexpr std::chrono::milliseconds kRequestInterval{20};
+  ProgramHarness harness;
+  std::vector<ProgramHarness::ProgramInstance> instances;
+  instances.push_back(harness.Start());
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < kRequests; ++i) {
+    if (i == kFirstRestart || i == kSecondRestart) instances.push_back(harness.Start());
+    if (i == kFirstStop) instances[0].process->Terminate();
+    if (i == kSecondStop) instances[1].process->Terminate();
+    clients.push_back(std::make_unique<Client>(harness.io, harness.listen_address));
+    clients.back()->Send(ApiCall("r" + std::to_string(i), i % 3 == 0 ? "pay" : "view"));
+    harness.io.run_for(kRequestInterval);
+  }
+  for (const auto& client : clients) EXPECT_EQ(client->Await().result_int(), 200u);
+  EXPECT_EQ(harness.RequestCount(0) + harness.RequestCount(1), static_cast<std::size_t>(kRequests));
+}
+
 // Guards a graceful shutdown that coincides with a hot restart: after a stall the process finds both SIGTERM
 // and the successor's connection. It must answer the requests that it has accepted; requests on its existing
 // connections and on new ones must be served by one of the two processes.
