Send the other process of a hot restart only the files that were reloaded

A new process that had read a newer file at its start was put back to the old one's configuration by a SIGHUP at the old process that rejected the file and reloaded only the peers file.

Cause: each reload sent all that is in force at its process, also what it had not read.

Change: a file that was not reloaded is left empty in the message, and the receiver keeps its own.

Test: PeersFileAtHotRestart.IsSentAloneIfTheConfigurationWasRejected; without the change it fails (the new process asks the former discovery), with it it passes.

--- a/src/app/configuration_controller.cpp
+++ b/src/app/configuration_controller.cpp
@@ -141,11 +141,12 @@
 }
 
 void ConfigurationController::Reload() {
-  const bool settings_changed = settings_reloader_->Reload();
-  if (settings_changed) service_->OnConfigurationAccepted();
-  const bool edge_changed = ReloadEdgeFile();
-  const bool peers_changed = ReloadPeersFile();
-  if (settings_changed || edge_changed || peers_changed) service_->ReplicateConfiguration();
+  Service::ReloadedFiles reloaded;
+  reloaded.settings = settings_reloader_->Reload();
+  if (reloaded.settings) service_->OnConfigurationAccepted();
+  reloaded.edge = ReloadEdgeFile();
+  reloaded.peers = ReloadPeersFile();
+  if (reloaded.settings || reloaded.edge || reloaded.peers) service_->ReplicateConfiguration(reloaded);
 }
 
 bool ConfigurationController::ReloadEdgeFile() {
@@ -187,6 +188,7 @@
 }
 
 void ConfigurationController::AdoptConfiguration(const operations::ConfigurationChange& change) {
+  if (change.configuration.empty()) return;
   const auto discovery_address = discovery::ParseAddress(change.discovery_address);
   auto document = nlohmann::json::parse(change.configuration, nullptr, /*allow_exceptions=*/false);
   const config::ConfigurationInForce in_force = service_->configuration_in_force();
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -305,12 +305,16 @@
   core_.metrics().OnConfigurationRejected(reason);
 }
 
-void Service::ReplicateConfiguration() {
+void Service::ReplicateConfiguration(const ReloadedFiles& reloaded) {
   if (!hot_restart_) return;
-  hot_restart_->ReplicateConfiguration({.configuration = configuration_document_->dump(),
-                                        .discovery_address = discovery::FormatAddress(discovery_.address()),
-                                        .edge_configuration = edge_configuration(),
-                                        .peers_configuration = peers_configuration_});
+  operations::ConfigurationChange change;
+  if (reloaded.settings) {
+    change.configuration = configuration_document_->dump();
+    change.discovery_address = discovery::FormatAddress(discovery_.address());
+  }
+  if (reloaded.edge) change.edge_configuration = edge_configuration();
+  if (reloaded.peers) change.peers_configuration = peers_configuration_;
+  hot_restart_->ReplicateConfiguration(change);
 }
 
 void Service::OnConfigurationChanged(const std::optional<operations::ConfigurationChange>& change) {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -97,8 +97,14 @@
   void SetConfigurationChangeHandler(ConfigurationChangeHandler handler) {
     on_configuration_changed_ = std::move(handler);
   }
-  /// Sends the configuration in effect to the other processes of a hot restart.
-  void ReplicateConfiguration();
+  /// The files that a reload has put in effect.
+  struct ReloadedFiles {
+    bool settings = false;
+    bool edge = false;
+    bool peers = false;
+  };
+  /// Sends these files, as they are in effect, to the other processes of a hot restart.
+  void ReplicateConfiguration(const ReloadedFiles& reloaded);
 
   /// The phases of a graceful shutdown, in ms from its start. With deadlines of 3 s or more, SIGKILL comes at
   /// 3,700 ms or later.
--- a/src/operations/configuration_change.hpp
+++ b/src/operations/configuration_change.hpp
@@ -8,12 +8,13 @@
 
 namespace meadowyard::operations {
 
-/// The configuration and the operators' files in force.
+/// The files that a reload has put in force. A file that was not reloaded is empty: the other process may
+/// have read a newer one.
 struct ConfigurationChange {
-  std::string configuration;             ///< JSON text of the platform's file, without the host list.
-  std::string discovery_address;         ///< "ADDRESS:PORT"
-  std::string edge_configuration = {};   ///< Text of the file for tunnels; empty if there is none.
-  std::string peers_configuration = {};  ///< Text of the peers file; empty if there is none.
+  std::string configuration = {};        ///< JSON text of the platform's file, without the host list.
+  std::string discovery_address = {};    ///< "ADDRESS:PORT", by that file.
+  std::string edge_configuration = {};   ///< Text of the file for tunnels.
+  std::string peers_configuration = {};  ///< Text of the peers file.
 };
 
 /// Formats as JSON text. Other versions of the program read it, so the field names must never change.
--- a/tests/configuration_process_test.cpp
+++ b/tests/configuration_process_test.cpp
@@ -381,5 +381,23 @@
   EXPECT_EQ(harness.CallAdmin(successor, "GET /status/peers"), 200u);
 }
 
+// Guards against a reload that puts the other process back to an older configuration: only what was reloaded
+// is sent, and the other process may have read a newer file.
+TEST(PeersFileAtHotRestart, IsSentAloneIfTheConfigurationWasRejected) {
+  PeersHarness harness;
+  auto predecessor = harness.Start();
+  harness.Move(predecessor, harness.second);
+  harness.NameDiscovery(harness.third);
+  auto successor = harness.Start();
+  ASSERT_TRUE(harness.AwaitWatches(harness.third, 1));
+  harness.WriteConfig("{");
+  harness.WritePeers("beat_ms = 100\n");
+  predecessor.process->HangUp();
+  EXPECT_TRUE(RunUntil(
+      harness.io, [&] { return successor.process->Errors().find("peers_loaded") != std::string::npos; }));
+  EXPECT_EQ(harness.Status(successor)["discovery"], ToText(harness.third_peer.address()));
+  EXPECT_TRUE(harness.Follows(successor, harness.third));
+}
+
 }  // namespace
 }  // namespace meadowyard::testing
