Take back: shared endpoint lists only from leaders that watch the same discovery

It told discoveries apart by their addresses. No test checks that lists are shared through processes, so none failed for it.

--- a/src/app/cluster_service.cpp
+++ b/src/app/cluster_service.cpp
@@ -92,8 +92,7 @@
                                       discovery_.SetRevision(list.revision);
                                       handlers_.on_endpoint_list(std::move(list));
                                     },
-                                    [this](bool watch) { watch ? discovery_.Start() : discovery_.Stop(); },
-                                    [this] { return discovery::FormatAddress(discovery_.address()); }});
+                                    [this](bool watch) { watch ? discovery_.Start() : discovery_.Stop(); }});
 }
 
 void ClusterService::StartZoneStateCoordinator() {
--- a/src/coordination/endpoint_list_leader.cpp
+++ b/src/coordination/endpoint_list_leader.cpp
@@ -23,15 +23,6 @@
   for (const Lease::Envelope& envelope : envelopes) handlers_.send(envelope.to, envelope.message);
 }
 
-std::string EndpointListLeader::DiscoveryAddress() const {
-  return handlers_.discovery_address ? handlers_.discovery_address() : "";
-}
-
-bool EndpointListLeader::IsOfOtherDiscovery(const EndpointListPart& part) const {
-  const std::string own_address = DiscoveryAddress();
-  return !part.discovery.empty() && !own_address.empty() && part.discovery != own_address;
-}
-
 void EndpointListLeader::Tick(Millis now, double jitter) {
   std::vector<Lease::Envelope> envelopes;
   lease_.Tick(now, jitter, envelopes);
@@ -40,8 +31,7 @@
   if (!lease_.IsHeld(now) || !revision_) return;
   for (int gateway = 0; gateway < gateways_; ++gateway) {
     if (gateway == self_) continue;
-    handlers_.send(gateway, EndpointListPart{
-                                lease_.token(), *revision_, *revision_, false, 0, 0, {}, DiscoveryAddress()});
+    handlers_.send(gateway, EndpointListPart{lease_.token(), *revision_, *revision_, false, 0, 0, {}});
     ++parts_sent_;
   }
 }
@@ -75,10 +65,6 @@
   highest_token_ = part.token;
   leader_ = from;
   lease_.ObserveToken(part.token);
-  if (IsOfOtherDiscovery(part)) {
-    ++messages_rejected_;
-    return;
-  }
   if (revision_ == part.revision) {
     confirmed_at_ = now;
     return;
@@ -129,8 +115,7 @@
                           list.is_snapshot,
                           static_cast<std::uint32_t>(index),
                           static_cast<std::uint32_t>(parts),
-                          {},
-                          DiscoveryAddress()};
+                          {}};
     const auto first = list.endpoints.begin() + static_cast<std::ptrdiff_t>(index * kMaxEndpointsPerPart);
     const auto last =
         list.endpoints.begin() +
--- a/src/coordination/endpoint_list_leader.hpp
+++ b/src/coordination/endpoint_list_leader.hpp
@@ -9,7 +9,6 @@
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "coordination/lease.hpp"
@@ -25,8 +24,6 @@
     std::function<discovery::EndpointList()> current_list;       ///< The complete list of this gateway.
     std::function<void(discovery::EndpointList)> list_received;  ///< Called with a list from the leader.
     std::function<void(bool enabled)> watch_discovery;  ///< Starts or stops this gateway's own watch.
-    /// The address of the service discovery that this gateway watches; null: unknown.
-    std::function<std::string()> discovery_address = nullptr;
   };
   struct Times {
     Lease::Times lease;
@@ -65,9 +62,6 @@
   void SendEnvelopes(const std::vector<Lease::Envelope>& envelopes);
   void SendList(int to, const discovery::EndpointList& list, std::int64_t base_revision);
   void UpdateDiscoveryWatch(Millis now);
-  std::string DiscoveryAddress() const;
-  /// Whether the sender watches another discovery, whose revisions and hosts mean nothing here.
-  bool IsOfOtherDiscovery(const EndpointListPart& part) const;
 
   const int self_, gateways_;
   const Times times_;
--- a/src/coordination/message_codec.cpp
+++ b/src/coordination/message_codec.cpp
@@ -12,7 +12,6 @@
 
 constexpr int kWireVersion = 1;
 constexpr std::size_t kMaxNameLength = 128;                       // bytes; of a gateway or a zone
-constexpr std::size_t kMaxAddressLength = 64;                     // bytes; "ADDRESS:PORT"
 constexpr std::uint32_t kMaxParts = 1000;                         // of one endpoint list
 const std::array<std::string, 2> kRoleNames = {"list", "zones"};  // by LeaseRole
 
@@ -35,14 +34,12 @@
 }
 json ToJson(const EndpointListPart& list_part) {
   discovery::EndpointList list{list_part.revision, list_part.complete, list_part.hosts};
-  json fields = {{"list", list_part.revision},
-                 {"token", list_part.token},
-                 {"after", list_part.base_revision},
-                 {"part", list_part.part},
-                 {"parts", list_part.parts},
-                 {"hosts", list_part.parts > 0 ? discovery::SerializeEndpointList(list) : ""}};
-  if (!list_part.discovery.empty()) fields["discovery"] = list_part.discovery;
-  return fields;
+  return {{"list", list_part.revision},
+          {"token", list_part.token},
+          {"after", list_part.base_revision},
+          {"part", list_part.part},
+          {"parts", list_part.parts},
+          {"hosts", list_part.parts > 0 ? discovery::SerializeEndpointList(list) : ""}};
 }
 json ToJson(const EndpointListRequest& content) { return {{"wanted", true}, {"token", content.token}}; }
 json ToJson(const ZoneStateAnnouncement& content) {
@@ -95,8 +92,6 @@
   part.base_revision = ReadInteger(fields.at("after"));
   part.parts = static_cast<std::uint32_t>(ReadUnsigned(fields.at("parts"), kMaxParts));
   part.part = static_cast<std::uint32_t>(ReadUnsigned(fields.at("part"), kMaxParts));
-  part.discovery = fields.value("discovery", "");
-  if (part.discovery.size() > kMaxAddressLength) throw std::invalid_argument("discovery");
   if (part.parts == 0) return part;
   auto list = discovery::ParseEndpointList(fields.at("hosts").get_ref<const std::string&>());
   if (!list || part.part >= part.parts || list->revision != part.revision)
--- a/src/coordination/message_codec.hpp
+++ b/src/coordination/message_codec.hpp
@@ -29,8 +29,6 @@
   bool complete = false;              ///< A complete list, not a delta.
   std::uint32_t part = 0, parts = 0;  ///< Index and number of parts; 0 parts: the revision only.
   std::vector<discovery::EndpointRecord> hosts;
-  /// "ADDRESS:PORT" of the service discovery that numbers these revisions; empty: of an earlier version.
-  std::string discovery = {};
 };
 /// To the leader: the sender has another revision and needs the complete list.
 struct EndpointListRequest {
